--- /dev/null
+++ b/lovageridge/src/admin/edits.rs
@@ -0,0 +1,121 @@
+//! Reads and edits of sections.
+
+use std::time::Duration;
+
+use log::info;
+
+use crate::admin::api::EditReply;
+use crate::admin::api::EditRequest;
+use crate::admin::api::HistoryEntry;
+use crate::admin::api::SectionView;
+use crate::admin::api::Sections;
+use crate::clock::unix_ms;
+use crate::config::fold::Verdict;
+use crate::config::record::Edit;
+use crate::config::record::Record;
+use crate::config::record::STREAM;
+use crate::context::Context;
+use crate::platform;
+use crate::telemetry::events;
+
+/// Longest wait for the verdict on an edit.
+const VERDICT_TIMEOUT: Duration = Duration::from_millis(5000);
+/// Longest name of an edit in bytes.
+const EDIT_ID_MAX_BYTES: usize = 128;
+/// Most sections that one edit changes.
+const CHANGES_MAX: usize = 20_000;
+
+/// Returns the sections whose names start with `prefix`.
+pub fn sections(ctx: &Context, prefix: &str) -> Sections {
+    let fold = ctx.config.lock();
+    let sections = fold
+        .sections()
+        .filter(|(name, ..)| name.starts_with(prefix))
+        .map(|(name, version, body)| SectionView {
+            section: name.to_owned(),
+            version,
+            body: body.to_owned(),
+        })
+        .collect();
+    Sections { version: fold.config().version, sections }
+}
+
+/// Returns the section called `name`.
+pub fn section(ctx: &Context, name: &str) -> Option<SectionView> {
+    sections(ctx, name).sections.into_iter().find(|s| s.section == name)
+}
+
+/// Checks the form of an edit.
+///
+/// # Errors
+/// Returns what is wrong with it.
+pub fn check_form(edit: &EditRequest) -> Result<(), String> {
+    if edit.edit_id.is_empty() || edit.edit_id.len() > EDIT_ID_MAX_BYTES {
+        return Err(format!("edit_id must have 1 to {EDIT_ID_MAX_BYTES} bytes"));
+    }
+    if edit.changes.is_empty() || edit.changes.len() > CHANGES_MAX {
+        return Err(format!("an edit must have 1 to {CHANGES_MAX} changes"));
+    }
+    Ok(())
+}
+
+/// Appends an edit of `team` to the log and waits for the verdict.
+///
+/// When the answer to the append is lost, the verdict still shows whether the edit took effect.
+pub fn apply(ctx: &Context, team: &str, request: EditRequest) -> EditReply {
+    let edit_id = request.edit_id.clone();
+    if let Some(verdict) = ctx.config.lock().verdict(&edit_id) {
+        return reply(verdict);
+    }
+    let edit = Edit {
+        edit_id: request.edit_id,
+        team: team.to_owned(),
+        changes: request.changes,
+        written_unix_ms: unix_ms(),
+    };
+    let appended = ctx.log.append(STREAM, &Record::Edit(edit));
+    let label = if appended.is_ok() { "ok" } else { "failed" };
+    ctx.metrics.log_appends_total.with_label_values(&[STREAM, label]).inc();
+    let detail = format!("team={team} edit={edit_id} appended={label}");
+    info!("{}", events::EDIT_APPENDED.text(&ctx.own.instance_id, &detail));
+    if matches!(appended, Err(platform::Error::Status { .. })) {
+        return EditReply::Unconfirmed;
+    }
+    match ctx.config.wait_verdict(&edit_id, VERDICT_TIMEOUT) {
+        Some(verdict) => reply(&verdict),
+        None => EditReply::Unconfirmed,
+    }
+}
+
+fn reply(verdict: &Verdict) -> EditReply {
+    match verdict.clone() {
+        Verdict::Accepted { version } => EditReply::Accepted { version },
+        Verdict::Conflict { section, current_version } => {
+            EditReply::Conflict { section, current_version }
+        }
+        Verdict::Forbidden { section } => EditReply::Forbidden { section },
+        Verdict::Invalid { faults } => EditReply::Invalid { faults },
+    }
+}
+
+/// Returns the edits that the log still holds, with their results as far as they are known.
+///
+/// # Errors
+/// Returns the error of the log.
+pub fn history(ctx: &Context, prefix: &str) -> Result<Vec<HistoryEntry>, platform::Error> {
+    let page = ctx.log.read(STREAM, 0, 0)?;
+    let fold = ctx.config.lock();
+    let entries = page.records.iter().filter_map(|entry| {
+        let Record::Edit(edit) = entry.decode()? else { return None };
+        let concerns = edit.changes.iter().any(|c| c.section.starts_with(prefix));
+        concerns.then(|| HistoryEntry {
+            offset: entry.offset,
+            result: fold.verdict(&edit.edit_id).map(reply),
+            edit_id: edit.edit_id,
+            team: edit.team,
+            written_unix_ms: edit.written_unix_ms,
+            changes: edit.changes,
+        })
+    });
+    Ok(entries.collect())
+}
--- /dev/null
+++ b/lovageridge/src/admin/status.rs
@@ -0,0 +1,104 @@
+//! Status of an instance.
+
+use std::time::Duration;
+
+use serde::Serialize;
+
+use crate::context::Context;
+use crate::dispatch::duty::DispatchStatus;
+use crate::dispatch::duty::Event as DispatchEvent;
+use crate::placement::duty::CellStatus;
+use crate::placement::duty::Event as LeadEvent;
+
+/// Longest wait for a duty's answer.
+const DUTY_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// Status of an instance as its administration port tells it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Status {
+    /// Name of the instance.
+    pub instance_id: String,
+    /// Failure domain of the instance.
+    pub domain: String,
+    /// Version of the configuration in force.
+    pub config_version: u64,
+    /// Whether the instance takes requests.
+    pub ready: bool,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+    /// Time since the list was last read, in ms.
+    pub list_age_ms: Option<u64>,
+    /// Other instances.
+    pub members: Vec<MemberStatus>,
+    /// Cells that the instance leads.
+    pub cells: Vec<CellStatus>,
+    /// Queues and the view of the workers.
+    pub dispatch: Option<DispatchStatus>,
+}
+
+/// Another instance as this one sees it.
+#[derive(Clone, Debug, Serialize)]
+pub struct MemberStatus {
+    /// Name of the instance.
+    pub instance_id: String,
+    /// Failure domain of the instance.
+    pub domain: String,
+    /// Whether it is taken to live.
+    pub alive: bool,
+    /// Whether it is shutting down.
+    pub leaving: bool,
+    /// Version of its configuration.
+    pub config_version: u64,
+    /// Cells that it leads, with their epochs.
+    pub leads: Vec<String>,
+}
+
+/// Tells whether the instance takes requests.
+pub fn is_ready(ctx: &Context) -> bool {
+    !ctx.is_leaving() && ctx.config.current().version > 0
+}
+
+/// Returns the status of the instance.
+pub fn read(ctx: &Context) -> Status {
+    let now_ms = ctx.clock.now_ms();
+    let (members, list_age_ms) = {
+        let view = ctx.members();
+        let members = view
+            .all()
+            .map(|(id, member)| MemberStatus {
+                instance_id: id.clone(),
+                domain: member.domain.clone(),
+                alive: view.is_alive(id, now_ms),
+                leaving: member.leaving,
+                config_version: member.config_version,
+                leads: member.leads.iter().map(|l| format!("{} {}", l.cell, l.epoch)).collect(),
+            })
+            .collect();
+        (members, view.list_read_ms().map(|at| now_ms - at.min(now_ms)))
+    };
+    Status {
+        instance_id: ctx.own.instance_id.clone(),
+        domain: ctx.own.domain.clone(),
+        config_version: ctx.config.current().version,
+        ready: is_ready(ctx),
+        leaving: ctx.is_leaving(),
+        list_age_ms,
+        members,
+        cells: cells(ctx),
+        dispatch: dispatch(ctx),
+    }
+}
+
+/// Returns the cells that the instance leads.
+pub fn cells(ctx: &Context) -> Vec<CellStatus> {
+    let (reply, answer) = flume::bounded(1);
+    ctx.offer_lead(LeadEvent::Status { reply });
+    answer.recv_timeout(DUTY_TIMEOUT).unwrap_or_default()
+}
+
+/// Returns the queues and the view of the workers.
+pub fn dispatch(ctx: &Context) -> Option<DispatchStatus> {
+    let (reply, answer) = flume::bounded(1);
+    ctx.offer_dispatch(DispatchEvent::Status { reply });
+    answer.recv_timeout(DUTY_TIMEOUT).ok()
+}
--- /dev/null
+++ b/lovageridge/src/attempts/claims/duty.rs
@@ -0,0 +1,227 @@
+//! Threads of the idempotency claims: batched appends and a tail of the stream.
+
+use std::collections::VecDeque;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use flume::Receiver;
+use flume::RecvTimeoutError;
+use flume::Sender;
+
+use crate::attempts::claims::fold::Fold;
+use crate::attempts::claims::fold::KeptAnswer;
+use crate::attempts::claims::fold::Record;
+use crate::attempts::claims::fold::STREAM;
+use crate::context::Context;
+use crate::context::lock;
+
+/// Records that wait for an append.
+const RING_RECORDS: usize = 2048;
+/// Most records in one append.
+const BATCH_MAX: usize = 256;
+/// Time for which an append waits for further records.
+const BATCH_WINDOW: Duration = Duration::from_millis(10);
+/// Longest wait of one read for a first record, in ms.
+const READ_WAIT_MS: u64 = 1000;
+/// Pause after a failed call to the log, in ms.
+const RETRY_MS: u64 = 200;
+/// Records kept for appending again while the log is down.
+const KEPT_MAX: usize = 20_000;
+
+/// What became of a claim.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The request holds the key and may run.
+    Won,
+    /// The key was used with a request of another content.
+    Mismatch,
+    /// Another request holds the key and its answer is known.
+    Answered(KeptAnswer),
+    /// Another request holds the key; its outcome is not known.
+    Held,
+    /// The log did not confirm the claim in time; the request must not run.
+    Unavailable,
+}
+
+/// A request that claims a key.
+#[derive(Clone, Copy, Debug)]
+pub struct Claim<'a> {
+    /// Hash of partner, service and key.
+    pub key: &'a str,
+    /// Name of the request.
+    pub request_id: &'a str,
+    /// Hash of method, path and body.
+    pub fingerprint: &'a str,
+}
+
+/// Claims of one instance.
+pub struct Claims {
+    fold: Mutex<Fold>,
+    folded: Condvar,
+    caught_up: Mutex<bool>,
+    ring: Sender<Record>,
+}
+
+impl Claims {
+    /// Returns the claims and the ring of records to append.
+    pub fn new() -> (Self, Receiver<Record>) {
+        let (ring, records) = flume::bounded(RING_RECORDS);
+        let claims = Self {
+            fold: Mutex::default(),
+            folded: Condvar::new(),
+            caught_up: Mutex::new(false),
+            ring,
+        };
+        (claims, records)
+    }
+
+    /// Claims a key and waits for the log's verdict, at most `timeout`.
+    ///
+    /// A claim without verdict in time is voided: the request never runs, even if the claim
+    /// turns up in the log later.
+    pub fn claim(&self, claim: Claim<'_>, timeout: Duration) -> Verdict {
+        if !*lock(&self.caught_up) {
+            return Verdict::Unavailable;
+        }
+        if let Some(verdict) = judge(&lock(&self.fold), claim) {
+            return verdict;
+        }
+        let record = Record::Claim {
+            key: claim.key.to_owned(),
+            request_id: claim.request_id.to_owned(),
+            fingerprint: claim.fingerprint.to_owned(),
+        };
+        if self.ring.try_send(record).is_err() {
+            return Verdict::Unavailable;
+        }
+        match self.wait(claim, timeout) {
+            Some(verdict) => verdict,
+            None => {
+                self.void(claim.key, claim.request_id);
+                Verdict::Unavailable
+            }
+        }
+    }
+
+    fn wait(&self, claim: Claim<'_>, timeout: Duration) -> Option<Verdict> {
+        let until = Instant::now() + timeout;
+        let mut fold = lock(&self.fold);
+        loop {
+            if let Some(verdict) = judge(&fold, claim) {
+                return Some(verdict);
+            }
+            let left = until.checked_duration_since(Instant::now())?;
+            fold = match self.folded.wait_timeout(fold, left) {
+                Ok((fold, _)) => fold,
+                Err(poisoned) => poisoned.into_inner().0,
+            };
+        }
+    }
+
+    /// Gives a key up whose request has certainly not run.
+    pub fn void(&self, key: &str, request_id: &str) {
+        let record = Record::Void { key: key.to_owned(), request_id: request_id.to_owned() };
+        // Without room the key stays held: a repeated request is refused, and nothing runs twice.
+        let _ = self.ring.try_send(record);
+    }
+
+    /// Keeps the answer for repeated requests.
+    pub fn answered(&self, record: Record) {
+        // Without room a repeated request is told that the outcome is not known.
+        let _ = self.ring.try_send(record);
+    }
+
+    /// Returns the number of keys held.
+    pub fn len(&self) -> usize {
+        lock(&self.fold).len()
+    }
+
+    /// Tells whether no key is held.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+fn judge(fold: &Fold, claim: Claim<'_>) -> Option<Verdict> {
+    let state = fold.key(claim.key)?;
+    if state.request_id == claim.request_id {
+        return Some(Verdict::Won);
+    }
+    if state.fingerprint != claim.fingerprint {
+        return Some(Verdict::Mismatch);
+    }
+    Some(match &state.answer {
+        Some(answer) => Verdict::Answered(answer.clone()),
+        None => Verdict::Held,
+    })
+}
+
+/// Tails the stream until the instance stops.
+pub fn run_tail(ctx: &Context, claims: &Claims) {
+    while !ctx.is_stopped() {
+        let from_offset = lock(&claims.fold).next_offset();
+        let Ok(page) = ctx.log.read(STREAM, from_offset, READ_WAIT_MS) else {
+            ctx.pause_ms(RETRY_MS);
+            continue;
+        };
+        let mut fold = lock(&claims.fold);
+        fold.on_first_offset(page.first_offset);
+        for entry in &page.records {
+            if let Some(record) = entry.decode::<Record>() {
+                fold.apply(entry.offset, record);
+            }
+        }
+        let at_end = page.records.last().is_none_or(|e| e.offset + 1 >= page.next_offset);
+        drop(fold);
+        if at_end {
+            *lock(&claims.caught_up) = true;
+        }
+        claims.folded.notify_all();
+    }
+}
+
+/// Appends records in batches until the instance stops.
+///
+/// Claims are appended once: when the answer is lost, the tail shows whether they took effect.
+/// Voids and answers are appended again until the log has confirmed them.
+pub fn run_appends(ctx: &Context, records: &Receiver<Record>) {
+    let mut kept: VecDeque<Record> = VecDeque::new();
+    while !ctx.is_stopped() {
+        let mut batch = collect(records);
+        let fresh = batch.len();
+        let room = BATCH_MAX.saturating_sub(fresh);
+        batch.extend(kept.drain(..room.min(kept.len())));
+        if batch.is_empty() {
+            continue;
+        }
+        let result = ctx.log.append(STREAM, &Record::Batch(batch.clone()));
+        let label = if result.is_ok() { "ok" } else { "failed" };
+        ctx.metrics.log_appends_total.with_label_values(&[STREAM, label]).inc();
+        if result.is_err() {
+            kept.extend(batch.into_iter().filter(|r| !matches!(r, Record::Claim { .. })));
+            while kept.len() > KEPT_MAX {
+                kept.pop_front();
+            }
+            ctx.pause_ms(RETRY_MS);
+        }
+    }
+}
+
+/// Waits for a first record and takes those that follow within the batch window.
+fn collect(records: &Receiver<Record>) -> Vec<Record> {
+    let mut batch = Vec::new();
+    match records.recv_timeout(Duration::from_millis(RETRY_MS)) {
+        Ok(record) => batch.push(record),
+        Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => return batch,
+    }
+    let until = Instant::now() + BATCH_WINDOW;
+    while batch.len() < BATCH_MAX {
+        match records.recv_deadline(until) {
+            Ok(record) => batch.push(record),
+            Err(_) => break,
+        }
+    }
+    batch
+}
--- /dev/null
+++ b/lovageridge/src/callers/reply.rs
@@ -0,0 +1,127 @@
+//! Replies on the callers' port: whole, streamed, or a typed error.
+
+use std::io;
+use std::io::Write;
+
+use serde::Serialize;
+use tiny_http::Header;
+use tiny_http::Request;
+use tiny_http::Response;
+
+use crate::attempts::outcome::Code;
+use crate::attempts::outcome::Failure;
+use crate::attempts::outcome::Ran;
+
+/// Body of a typed error.
+#[derive(Clone, Debug, Serialize)]
+pub struct ErrorBody<'a> {
+    /// The error.
+    pub error: ErrorDetail<'a>,
+}
+
+/// A typed error.
+#[derive(Clone, Debug, Serialize)]
+pub struct ErrorDetail<'a> {
+    /// Stable code.
+    pub code: Code,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// Time after which a retry may succeed, in ms.
+    pub retry_after_ms: Option<u64>,
+    /// Name of the request.
+    pub request_id: &'a str,
+    /// Text for a person.
+    pub message: &'a str,
+}
+
+/// Returns the JSON text of `failure`.
+pub fn error_text(failure: &Failure, request_id: &str) -> String {
+    let error = ErrorDetail {
+        code: failure.code,
+        ran: failure.ran,
+        retry_after_ms: failure.retry_after_ms,
+        request_id,
+        message: &failure.message,
+    };
+    serde_json::to_string(&ErrorBody { error }).unwrap_or_default()
+}
+
+fn header(name: &str, value: &str) -> Option<Header> {
+    Header::from_bytes(name.as_bytes(), value.as_bytes()).ok()
+}
+
+/// Replies with a whole body.
+///
+/// # Errors
+/// Returns the error of the connection; the caller has left.
+pub fn whole(
+    request: Request,
+    status_code: u16,
+    headers: &[(String, String)],
+    body: Vec<u8>,
+) -> io::Result<()> {
+    let mut response = Response::from_data(body).with_status_code(status_code);
+    for (name, value) in headers {
+        if let Some(header) = header(name, value) {
+            response.add_header(header);
+        }
+    }
+    request.respond(response)
+}
+
+/// Replies with a typed error.
+///
+/// # Errors
+/// Returns the error of the connection; the caller has left.
+pub fn error(request: Request, failure: &Failure, request_id: &str) -> io::Result<()> {
+    let mut headers = vec![
+        ("content-type".to_owned(), "application/json".to_owned()),
+        ("x-request-id".to_owned(), request_id.to_owned()),
+    ];
+    if let Some(retry_ms) = failure.retry_after_ms {
+        headers.push(("retry-after".to_owned(), retry_ms.div_ceil(1000).max(1).to_string()));
+    }
+    let body = error_text(failure, request_id).into_bytes();
+    whole(request, failure.code.status(), &headers, body)
+}
+
+/// A stream of server-sent events in progress.
+pub struct EventStream {
+    out: Box<dyn Write + Send + 'static>,
+}
+
+impl EventStream {
+    /// Sends the head of the reply.
+    ///
+    /// # Errors
+    /// Returns the error of the connection; the caller has left.
+    pub fn open(request: Request, request_id: &str) -> io::Result<Self> {
+        let mut out = request.into_writer();
+        write!(
+            out,
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncache-control: no-cache\r\n\
+             transfer-encoding: chunked\r\nx-request-id: {request_id}\r\n\r\n"
+        )?;
+        out.flush()?;
+        Ok(Self { out })
+    }
+
+    /// Sends one event at once.
+    ///
+    /// # Errors
+    /// Returns the error of the connection; the caller has left.
+    pub fn event(&mut self, data: &str) -> io::Result<()> {
+        let text = format!("data: {data}\n\n");
+        write!(self.out, "{:x}\r\n{text}\r\n", text.len())?;
+        self.out.flush()
+    }
+
+    /// Ends the stream.
+    ///
+    /// # Errors
+    /// Returns the error of the connection; the caller has left.
+    pub fn close(mut self) -> io::Result<()> {
+        self.out.write_all(b"0\r\n\r\n")?;
+        self.out.flush()
+    }
+}
--- /dev/null
+++ b/lovageridge/src/callers/services.rs
@@ -0,0 +1,96 @@
+//! Plain services on the callers' port: method, headers and body are passed through.
+
+use tiny_http::Request;
+
+use crate::attempts::grant::Order;
+use crate::attempts::outcome::Failure;
+use crate::attempts::plain;
+use crate::attempts::plain::PlainCall;
+use crate::callers::reply;
+use crate::callers::server::Incoming;
+use crate::callers::server::Port;
+use crate::callers::server::header;
+use crate::dispatch::core::PoolKey;
+use crate::upstream::service::PlainRequest;
+
+/// Headers that concern one connection, or that the system sets itself.
+const NOT_PASSED: [&str; 14] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "date",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authorization",
+    "server",
+    "te",
+    "traceparent",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Serves a call to the plain service called `service`.
+///
+/// # Errors
+/// Returns the failure that the caller was told, for the count of outcomes.
+pub fn handle(
+    port: &Port,
+    request: Request,
+    incoming: Incoming,
+    service: &str,
+) -> Result<(), Failure> {
+    let method = request.method().to_string();
+    let path = request.url().to_owned();
+    let headers = passed_headers(&request);
+    let methods = incoming.config.services.get(service).map(|s| &s.idempotent_methods);
+    let call = PlainCall {
+        request_id: incoming.request_id.clone(),
+        service: service.to_owned(),
+        idempotent: methods.is_some_and(|m| m.contains(&method)),
+        key: header(&request, "idempotency-key").map(str::to_owned),
+        request: PlainRequest {
+            method: &method,
+            path: &path,
+            headers: &headers,
+            body: &incoming.body,
+        },
+        order: Order {
+            pool: PoolKey::Plain(service.to_owned()),
+            partner: incoming.partner.clone(),
+            priority: incoming.priority,
+            cost_tokens: 1,
+            deadline_ms: incoming.deadline_ms,
+        },
+        parent: incoming.span,
+    };
+    let result = plain::run(&port.ctx, &port.claims, &call);
+    // From here on errors of the connection mean that the caller has left.
+    match result {
+        Ok(answer) => {
+            let mut headers: Vec<(String, String)> =
+                answer.headers.into_iter().filter(|(name, _)| is_passed(name)).collect();
+            headers.push(("x-request-id".to_owned(), incoming.request_id));
+            let _ = reply::whole(request, answer.status_code, &headers, answer.body);
+            Ok(())
+        }
+        Err(failure) => {
+            let _ = reply::error(request, &failure, &incoming.request_id);
+            Err(failure)
+        }
+    }
+}
+
+fn passed_headers(request: &Request) -> Vec<(String, String)> {
+    request
+        .headers()
+        .iter()
+        .map(|h| (h.field.as_str().as_str().to_ascii_lowercase(), h.value.as_str().to_owned()))
+        .filter(|(name, _)| is_passed(name))
+        .collect()
+}
+
+fn is_passed(name: &str) -> bool {
+    NOT_PASSED.binary_search(&name).is_err()
+}
--- /dev/null
+++ b/lovageridge/src/callers/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the callers slice.
--- /dev/null
+++ b/lovageridge/src/cli.rs
@@ -0,0 +1,82 @@
+//! The command line: arguments, exit codes and the commands behind them.
+
+pub mod check;
+pub mod options;
+pub mod remote;
+pub mod serve;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+use crate::cli::options::Command;
+use crate::cli::options::CommandLine;
+
+/// Exit code of a command that failed.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit code of arguments that cannot be used.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit code of settings or a document with faults.
+pub const EXIT_INVALID: u8 = 3;
+/// Exit code of an edit that was refused.
+pub const EXIT_REFUSED: u8 = 4;
+
+/// A command that did not succeed.
+#[derive(Debug)]
+pub struct Exit {
+    /// Exit code.
+    pub code: u8,
+    /// Text for standard error.
+    pub message: String,
+}
+
+impl Exit {
+    /// Returns a failure with its exit code.
+    pub fn new(code: u8, message: impl Into<String>) -> Self {
+        Self { code, message: message.into() }
+    }
+}
+
+impl From<anyhow::Error> for Exit {
+    fn from(error: anyhow::Error) -> Self {
+        Self::new(EXIT_FAILED, format!("{error:#}"))
+    }
+}
+
+/// Runs the command that the arguments name.
+pub fn run() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match run_with(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(exit) => {
+            eprintln!("lovageridge: {}", exit.message);
+            ExitCode::from(exit.code)
+        }
+    }
+}
+
+fn run_with(arguments: &[String]) -> Result<(), Exit> {
+    let line = CommandLine::parse_args_default(arguments)
+        .map_err(|e| Exit::new(EXIT_USAGE, options::with_hint(&e.to_string(), arguments)))?;
+    if line.help_requested() || line.command.is_none() {
+        println!("{}", options::help(&line));
+        return if line.help_requested() {
+            Ok(())
+        } else {
+            Err(Exit::new(EXIT_USAGE, "a command is missing"))
+        };
+    }
+    match line.command {
+        Some(Command::Serve(options)) => serve::run(&options),
+        Some(Command::Check(options)) => check::run(&options),
+        Some(Command::Publish(options)) => remote::publish(&options),
+        Some(Command::Sections(options)) => remote::sections(&options),
+        Some(Command::Status(options)) => remote::status(&options),
+        Some(Command::Drain(options)) => remote::drain(&options),
+        Some(Command::Version(_)) => {
+            println!("lovageridge {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/lovageridge/src/config.rs
@@ -0,0 +1,72 @@
+//! The configuration duty: tails the log, folds edits, hands the newest document to other instances.
+
+pub mod duty;
+pub mod fold;
+pub mod record;
+#[cfg(test)]
+mod tests;
+
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::config::fold::Fold;
+use crate::config::fold::Verdict;
+use crate::config::record::Snapshot;
+use crate::document::Config;
+
+/// The configuration in force, shared by all duties of an instance.
+#[derive(Default)]
+pub struct Store {
+    fold: Mutex<Fold>,
+    changed: Condvar,
+}
+
+impl Store {
+    /// Returns a store without accepted configuration.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Locks the fold; a poisoned lock is taken over, since the fold changes only by whole values.
+    pub fn lock(&self) -> MutexGuard<'_, Fold> {
+        self.fold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the configuration in force.
+    pub fn current(&self) -> Arc<Config> {
+        Arc::clone(self.lock().config())
+    }
+
+    /// Returns the document in force with the state that a newcomer needs.
+    pub fn snapshot(&self) -> Snapshot {
+        self.lock().snapshot()
+    }
+
+    /// Changes the fold and wakes those who wait for a verdict.
+    pub fn update<T>(&self, change: impl FnOnce(&mut Fold) -> T) -> T {
+        let result = change(&mut self.lock());
+        self.changed.notify_all();
+        result
+    }
+
+    /// Waits until the edit `edit_id` has been folded, at most `timeout`.
+    pub fn wait_verdict(&self, edit_id: &str, timeout: Duration) -> Option<Verdict> {
+        let until = Instant::now() + timeout;
+        let mut fold = self.lock();
+        loop {
+            if let Some(verdict) = fold.verdict(edit_id) {
+                return Some(verdict.clone());
+            }
+            let left = until.checked_duration_since(Instant::now())?;
+            fold = match self.changed.wait_timeout(fold, left) {
+                Ok((fold, _)) => fold,
+                Err(poisoned) => poisoned.into_inner().0,
+            };
+        }
+    }
+}
--- /dev/null
+++ b/lovageridge/src/context.rs
@@ -0,0 +1,188 @@
+//! What the threads of one instance share.
+
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use flume::Sender;
+
+use crate::clock::Clock;
+use crate::config::Store;
+use crate::dispatch::duty::Event as DispatchEvent;
+use crate::hashing;
+use crate::membership::Members;
+use crate::placement::duty::Event as LeadEvent;
+use crate::platform::log::LogClient;
+use crate::settings::Settings;
+use crate::telemetry::metrics::Metrics;
+use crate::telemetry::trace::Tracer;
+use crate::wire;
+use crate::wire::Message;
+use crate::wire::StoreUse;
+
+/// Longest step of a pause, so that a stop is noticed soon.
+const PAUSE_STEP_MS: u64 = 50;
+
+/// Identity of the running process.
+#[derive(Clone, Debug)]
+pub struct OwnId {
+    /// Name of the instance.
+    pub instance_id: String,
+    /// Failure domain of the instance.
+    pub domain: String,
+    /// Start time of the process in ms since the Unix epoch.
+    pub incarnation: u64,
+}
+
+impl OwnId {
+    /// Returns a number that differs between instances, for staggering.
+    pub fn incarnation_hash(&self) -> u64 {
+        hashing::stable_hash(&[&self.instance_id, &self.incarnation.to_string()])
+    }
+}
+
+/// Shared parts of an instance.
+pub struct Context {
+    /// Settings of the instance.
+    pub settings: Settings,
+    /// Identity of the process.
+    pub own: OwnId,
+    /// Monotonic time.
+    pub clock: Clock,
+    /// Client of the log.
+    pub log: LogClient,
+    /// Configuration in force.
+    pub config: Arc<Store>,
+    /// Metrics of the instance.
+    pub metrics: Metrics,
+    /// Spans of the instance.
+    pub tracer: Tracer,
+    /// Ring of the dispatch duty.
+    pub dispatch: Sender<DispatchEvent>,
+    /// Ring of the placement duty.
+    pub lead: Sender<LeadEvent>,
+    /// Socket for datagrams to other instances.
+    pub socket: UdpSocket,
+    /// Use of the weight store by the own cells.
+    pub store_use: Mutex<StoreUse>,
+    /// Cells that the instance leads, for its heartbeats.
+    pub leads: Mutex<Vec<wire::LeadOf>>,
+    members: Mutex<Members>,
+    leaving: AtomicBool,
+    stopped: AtomicBool,
+    tickets: AtomicU64,
+}
+
+impl Context {
+    /// Joins the shared parts.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        settings: Settings,
+        own: OwnId,
+        metrics: Metrics,
+        tracer: Tracer,
+        dispatch: Sender<DispatchEvent>,
+        lead: Sender<LeadEvent>,
+        socket: UdpSocket,
+        members: Members,
+    ) -> Self {
+        Self {
+            log: LogClient::new(settings.log_addr),
+            settings,
+            own,
+            clock: Clock::start(),
+            config: Arc::new(Store::new()),
+            metrics,
+            tracer,
+            dispatch,
+            lead,
+            socket,
+            store_use: Mutex::default(),
+            leads: Mutex::default(),
+            members: Mutex::new(members),
+            leaving: AtomicBool::new(false),
+            stopped: AtomicBool::new(false),
+            tickets: AtomicU64::new(1),
+        }
+    }
+
+    /// Locks the view of the members.
+    pub fn members(&self) -> MutexGuard<'_, Members> {
+        lock(&self.members)
+    }
+
+    /// Returns a number for a new request.
+    pub fn next_ticket(&self) -> u64 {
+        self.tickets.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Tells whether the instance is shutting down and takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Starts the shutdown: the instance tells that it is not ready.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Tells whether the threads shall end.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Relaxed)
+    }
+
+    /// Ends the threads.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+    }
+
+    /// Sleeps for `pause_ms`, or until the instance stops.
+    pub fn pause_ms(&self, pause_ms: u64) {
+        let mut left_ms = pause_ms;
+        while left_ms > 0 && !self.is_stopped() {
+            let step_ms = left_ms.min(PAUSE_STEP_MS);
+            thread::sleep(Duration::from_millis(step_ms));
+            left_ms -= step_ms;
+        }
+    }
+
+    /// Sends `message` to another instance; a datagram that is lost is made up for by a later one.
+    pub fn send(&self, to: std::net::SocketAddr, message: Message) {
+        let bytes = wire::encode(&self.own.instance_id, message);
+        self.send_bytes(to, &bytes);
+    }
+
+    /// Sends an encoded datagram.
+    pub fn send_bytes(&self, to: std::net::SocketAddr, bytes: &[u8]) {
+        self.metrics.control_bytes_sent.inc_by(bytes.len() as u64);
+        if self.socket.send_to(bytes, to).is_err() {
+            self.metrics.datagrams_dropped.inc();
+        }
+    }
+
+    /// Puts an event into the ring of the dispatch duty; a full ring drops and counts it.
+    pub fn offer_dispatch(&self, event: DispatchEvent) {
+        if self.dispatch.try_send(event).is_err() {
+            self.metrics.ring_drops.with_label_values(&["dispatch"]).inc();
+        }
+    }
+
+    /// Puts an event into the ring of the placement duty; a full ring drops and counts it.
+    pub fn offer_lead(&self, event: LeadEvent) {
+        if self.lead.try_send(event).is_err() {
+            self.metrics.ring_drops.with_label_values(&["placement"]).inc();
+        }
+    }
+}
+
+/// Locks `mutex`; a poisoned one is taken over, since its values change only as a whole.
+pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/lovageridge/src/dispatch.rs
@@ -0,0 +1,7 @@
+//! The dispatch duty: joins admission and routing, and asks leads for cold targets.
+
+pub mod cells;
+pub mod core;
+pub mod duty;
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/lovageridge/src/dispatch/duty.rs
@@ -0,0 +1,290 @@
+//! Thread of the dispatch duty.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::RecvTimeoutError;
+use flume::Sender;
+
+use crate::attempts::outcome::Refusal;
+use crate::context::Context;
+use crate::dispatch::cells::CellSight;
+use crate::dispatch::cells::Lead;
+use crate::dispatch::core::Action;
+use crate::dispatch::core::Core;
+use crate::dispatch::core::Ended;
+use crate::dispatch::core::PoolKey;
+use crate::dispatch::core::Submit;
+use crate::placement::duty::Event as LeadEvent;
+use crate::platform::list::Listed;
+use crate::routing::Choice;
+use crate::sorted::Table;
+use crate::wire::AdmittedReport;
+use crate::wire::ColdAsk;
+use crate::wire::ColdReply;
+use crate::wire::Message;
+use crate::wire::UseReport;
+use crate::wire::WorkerView;
+
+/// Events that wait for the dispatch duty.
+pub const RING_EVENTS: usize = 16_384;
+/// Time between checks of deadlines, in ms.
+const TICK_MS: u64 = 10;
+/// Time between reports of use, in ms.
+const USE_PERIOD_MS: u64 = 500;
+/// Time between exchanges of admitted tokens, in ms.
+const EXCHANGE_PERIOD_MS: u64 = 200;
+
+/// What a request is told.
+pub type Decision = Result<Choice, Refusal>;
+
+/// An event for the dispatch duty.
+pub enum Event {
+    /// A request asks for an upstream.
+    Submit {
+        /// The request.
+        submit: Submit,
+        /// Where the decision goes.
+        reply: Sender<Decision>,
+    },
+    /// An upstream has ended a request.
+    Done {
+        /// What the request waited for.
+        pool: PoolKey,
+        /// Name of the upstream.
+        upstream: String,
+        /// How it ended.
+        ended: Ended,
+    },
+    /// The caller of a waiting request has left.
+    Cancel {
+        /// Number of the request.
+        ticket: u64,
+    },
+    /// A lead's report on a worker.
+    Worker(WorkerView),
+    /// The platform's list.
+    Listed(Vec<Listed>),
+    /// The cells as this instance sees them.
+    Cells {
+        /// The cells.
+        sights: Vec<CellSight>,
+        /// Number of living instances, this one included.
+        instances: u64,
+    },
+    /// A lead's answer.
+    Reply(ColdReply),
+    /// What another instance has admitted.
+    Admitted {
+        /// The telling instance.
+        from: String,
+        /// What it tells.
+        report: AdmittedReport,
+    },
+    /// The administration asks for the view of the workers.
+    Status {
+        /// Where the view goes.
+        reply: Sender<DispatchStatus>,
+    },
+}
+
+/// View of an instance, for the administration.
+#[derive(Clone, Debug, serde::Serialize)]
+pub struct DispatchStatus {
+    /// Requests waiting for an upstream.
+    pub waiting: usize,
+    /// Requests at upstreams.
+    pub in_flight: usize,
+    /// Workers as last reported.
+    pub workers: Vec<WorkerView>,
+}
+
+/// State of the dispatch thread.
+struct Duty<'a> {
+    ctx: &'a Context,
+    core: Core,
+    replies: Table<u64, Sender<Decision>>,
+    leads: Table<String, Option<Lead>>,
+    config_version: u64,
+    use_ms: u64,
+    exchange_ms: u64,
+}
+
+/// Runs the dispatch duty until the instance stops.
+pub fn run(ctx: &Context, events: &Receiver<Event>) {
+    let mut duty = Duty {
+        ctx,
+        core: Core::new(&ctx.own.domain, ctx.own.incarnation_hash()),
+        replies: Table::new(),
+        leads: Table::new(),
+        config_version: 0,
+        use_ms: 0,
+        exchange_ms: 0,
+    };
+    let mut next_tick_ms = 0;
+    while !ctx.is_stopped() {
+        let now_ms = ctx.clock.now_ms();
+        if now_ms >= next_tick_ms {
+            duty.tick(now_ms);
+            next_tick_ms = now_ms + TICK_MS;
+        }
+        let wait_ms = next_tick_ms.saturating_sub(ctx.clock.now_ms());
+        match events.recv_timeout(Duration::from_millis(wait_ms)) {
+            Ok(event) => duty.on_event(event),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+    }
+}
+
+impl Duty<'_> {
+    fn on_event(&mut self, event: Event) {
+        let now_ms = self.ctx.clock.now_ms();
+        match event {
+            Event::Submit { submit, reply } => {
+                self.take_config();
+                self.replies.insert(submit.ticket, reply);
+                let actions = self.core.on_submit(submit, now_ms);
+                self.perform(actions);
+            }
+            Event::Done { pool, upstream, ended } => {
+                let actions = self.core.on_done(&pool, &upstream, ended, now_ms);
+                self.perform(actions);
+            }
+            Event::Cancel { ticket } => {
+                self.core.on_cancel(ticket);
+                self.replies.remove(&ticket);
+            }
+            Event::Worker(view) => {
+                self.core.replicas().on_view(view);
+                let actions = self.core.pump_all(now_ms);
+                self.perform(actions);
+            }
+            Event::Listed(listed) => {
+                self.core.replicas().on_list(&listed);
+                self.core.plain().on_list(&listed);
+            }
+            Event::Cells { sights, instances } => {
+                self.leads = sights.iter().map(|s| (s.cell.clone(), s.lead.clone())).collect();
+                self.core.cells().on_cells(sights, now_ms);
+                self.core.on_instances(instances);
+            }
+            Event::Reply(reply) => {
+                self.core.on_progress(&reply.cell, &reply.target, reply.progress, now_ms);
+            }
+            Event::Admitted { from, report } => {
+                let totals = &report.totals;
+                self.core.on_admitted(&from, report.incarnation, totals, now_ms);
+            }
+            Event::Status { reply } => {
+                let (waiting, in_flight) = self.core.counts();
+                let workers = self.core.replicas().views().cloned().collect();
+                // The administration may have given up waiting.
+                let _ = reply.try_send(DispatchStatus { waiting, in_flight, workers });
+            }
+        }
+    }
+
+    fn take_config(&mut self) {
+        let config = self.ctx.config.current();
+        if config.version != self.config_version {
+            self.config_version = config.version;
+            self.core.on_config(config);
+        }
+    }
+
+    fn tick(&mut self, now_ms: u64) {
+        self.take_config();
+        let actions = self.core.on_tick(now_ms);
+        self.perform(actions);
+        if now_ms >= self.use_ms + USE_PERIOD_MS {
+            self.use_ms = now_ms;
+            self.report_use();
+        }
+        if now_ms >= self.exchange_ms + EXCHANGE_PERIOD_MS {
+            self.exchange_ms = now_ms;
+            self.exchange(now_ms);
+            let (waiting, _) = self.core.counts();
+            self.ctx.metrics.requests_waiting.set(waiting as i64);
+            let fill = self.ctx.dispatch.len() as i64;
+            self.ctx.metrics.ring_fill.with_label_values(&["dispatch"]).set(fill);
+        }
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Grant { ticket, choice } => self.tell(ticket, Ok(choice)),
+                Action::Refuse { ticket, refusal } => self.tell(ticket, Err(refusal)),
+                Action::Ask(ask) => self.ask(ask),
+            }
+        }
+    }
+
+    fn tell(&mut self, ticket: u64, decision: Decision) {
+        if let Some(reply) = self.replies.remove(&ticket) {
+            // Each request waits on a ring of its own until it is told.
+            let _ = reply.try_send(decision);
+        }
+    }
+
+    fn ask(&self, ask: ColdAsk) {
+        match self.leads.get(&ask.cell) {
+            Some(Some(Lead::Own)) => {
+                let from = self.ctx.own.instance_id.clone();
+                self.ctx.offer_lead(LeadEvent::Ask { from, from_addr: None, ask });
+            }
+            Some(Some(Lead::Peer { peers_addr })) => {
+                self.ctx.send(*peers_addr, Message::ColdAsk(ask));
+            }
+            _ => {}
+        }
+    }
+
+    /// Tells the lead of each cell which of its targets this instance has used.
+    fn report_use(&mut self) {
+        let used = self.core.take_used();
+        if used.is_empty() {
+            return;
+        }
+        let views: Vec<WorkerView> = self.core.replicas().views().cloned().collect();
+        for (cell, lead) in self.leads.iter() {
+            let held =
+                |model: &String| views.iter().filter(|v| v.cell == *cell).any(|v| holds(v, model));
+            let used: Vec<_> = used.iter().filter(|u| held(&u.target.model)).cloned().collect();
+            if used.is_empty() {
+                continue;
+            }
+            let report = UseReport { cell: cell.clone(), used };
+            match lead {
+                Some(Lead::Own) => {
+                    let from = self.ctx.own.instance_id.clone();
+                    self.ctx.offer_lead(LeadEvent::Use { from, report });
+                }
+                Some(Lead::Peer { peers_addr }) => {
+                    self.ctx.send(*peers_addr, Message::Use(report));
+                }
+                None => {}
+            }
+        }
+    }
+
+    fn exchange(&mut self, now_ms: u64) {
+        let totals = self.core.exchange(now_ms);
+        if totals.is_empty() {
+            return;
+        }
+        let report = AdmittedReport { incarnation: self.ctx.own.incarnation, totals };
+        let bytes = crate::wire::encode(&self.ctx.own.instance_id, Message::Admitted(report));
+        let targets: Vec<SocketAddr> =
+            self.ctx.members().alive(now_ms).map(|(_, m)| m.peers_addr).collect();
+        for to in targets {
+            self.ctx.send_bytes(to, &bytes);
+        }
+    }
+}
+
+fn holds(view: &WorkerView, model: &String) -> bool {
+    view.resident.binary_search_by(|r| r.model.cmp(model)).is_ok()
+}
--- /dev/null
+++ b/lovageridge/src/ini.rs
@@ -0,0 +1,153 @@
+//! Reads INI text into sections and reports every fault with its section and key.
+//!
+//! Settings and the venture's document share this reader, so both give the same messages.
+
+use std::fmt;
+use std::str::FromStr;
+
+use ini::Ini;
+use ini::ParseOption;
+use ini::Properties;
+
+/// The largest edit distance at which a name is suggested for an unknown one.
+const SUGGEST_DISTANCE: usize = 3;
+
+/// One fault in an INI text.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Fault {
+    /// Section in which the fault lies; empty for the text as a whole.
+    pub section: String,
+    /// Key in which the fault lies; empty for the section as a whole.
+    pub key: String,
+    /// What is wrong and what would be accepted.
+    pub message: String,
+}
+
+impl Fault {
+    /// Returns a fault of `key` in `section`.
+    pub fn new(section: &str, key: &str, message: impl Into<String>) -> Self {
+        Self { section: section.to_owned(), key: key.to_owned(), message: message.into() }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (self.section.is_empty(), self.key.is_empty()) {
+            (true, _) => write!(f, "{}", self.message),
+            (false, true) => write!(f, "[{}]: {}", self.section, self.message),
+            (false, false) => write!(f, "[{}] {}: {}", self.section, self.key, self.message),
+        }
+    }
+}
+
+/// Returns the member of `known` closest to `name`, if any is close enough to be meant.
+pub fn nearest<'a>(name: &str, known: impl IntoIterator<Item = &'a str>) -> Option<&'a str> {
+    known
+        .into_iter()
+        .map(|k| (strsim::damerau_levenshtein(name, k), k))
+        .filter(|(distance, _)| *distance <= SUGGEST_DISTANCE)
+        .min()
+        .map(|(_, k)| k)
+}
+
+/// Parses `text`; escapes and quotes are taken literally.
+///
+/// # Errors
+/// Returns a fault that names the line at which the text stops being INI.
+pub fn parse(text: &str) -> Result<Ini, Fault> {
+    let option = ParseOption { enabled_quote: false, enabled_escape: false, ..Default::default() };
+    Ini::load_from_str_opt(text, option)
+        .map_err(|e| Fault::new("", "", format!("line {}: {}", e.line + 1, e.msg)))
+}
+
+/// Reads the keys of one section, notes which were read, and collects the faults.
+pub struct SectionReader<'a> {
+    name: &'a str,
+    props: &'a Properties,
+    known: Vec<&'static str>,
+    faults: &'a mut Vec<Fault>,
+}
+
+impl<'a> SectionReader<'a> {
+    /// Starts reading `props`, the section called `name`.
+    pub fn new(name: &'a str, props: &'a Properties, faults: &'a mut Vec<Fault>) -> Self {
+        Self { name, props, known: Vec::new(), faults }
+    }
+
+    /// Returns the text under `key`, if it is present and not empty.
+    pub fn optional(&mut self, key: &'static str) -> Option<&'a str> {
+        self.known.push(key);
+        self.props.get(key).map(str::trim).filter(|value| !value.is_empty())
+    }
+
+    /// Returns the text under `key`, or the empty string and a fault.
+    pub fn required(&mut self, key: &'static str) -> &'a str {
+        match self.optional(key) {
+            Some(value) => value,
+            None => {
+                self.fault(key, "is missing");
+                ""
+            }
+        }
+    }
+
+    /// Returns the number under `key` if it lies within `min..=max`, else `default` and a fault.
+    pub fn number(&mut self, key: &'static str, default: u64, min: u64, max: u64) -> u64 {
+        let Some(text) = self.optional(key) else { return default };
+        match text.parse() {
+            Ok(number) if (min..=max).contains(&number) => number,
+            _ => {
+                self.fault(key, format!("'{text}' is not a whole number from {min} to {max}"));
+                default
+            }
+        }
+    }
+
+    /// Returns `yes` or `no` under `key` as a truth value.
+    pub fn flag(&mut self, key: &'static str, default: bool) -> bool {
+        match self.optional(key) {
+            None => default,
+            Some("yes") => true,
+            Some("no") => false,
+            Some(other) => {
+                self.fault(key, format!("'{other}' is neither yes nor no"));
+                default
+            }
+        }
+    }
+
+    /// Returns the value under `key` parsed as `T`, with `expected` named in the fault.
+    pub fn parsed<T: FromStr>(&mut self, key: &'static str, expected: &str) -> Option<T> {
+        let text = self.optional(key)?;
+        let value = text.parse().ok();
+        if value.is_none() {
+            self.fault(key, format!("'{text}' is not {expected}"));
+        }
+        value
+    }
+
+    /// Returns the comma-separated words under `key`.
+    pub fn list(&mut self, key: &'static str) -> Vec<String> {
+        let text = self.optional(key).unwrap_or_default();
+        text.split(',').map(str::trim).filter(|w| !w.is_empty()).map(str::to_owned).collect()
+    }
+
+    /// Records a fault of `key`.
+    pub fn fault(&mut self, key: &str, message: impl Into<String>) {
+        self.faults.push(Fault::new(self.name, key, message));
+    }
+
+    /// Ends the section and records a fault for each key that was never asked for.
+    pub fn close(self) {
+        for (key, _) in self.props.iter() {
+            if self.known.contains(&key) {
+                continue;
+            }
+            let hint = match nearest(key, self.known.iter().copied()) {
+                Some(name) => format!("unknown key; did you mean '{name}'?"),
+                None => format!("unknown key; known are {}", self.known.join(", ")),
+            };
+            self.faults.push(Fault::new(self.name, key, hint));
+        }
+    }
+}
--- /dev/null
+++ b/lovageridge/src/leadership.rs
@@ -0,0 +1,39 @@
+//! The leadership duty: claims of cells through the log, epochs, leases.
+//!
+//! A cell is a part of a service's upstreams in one failure domain. Its lead is the only instance
+//! that orders loads there. A claim is a record of the `cells` stream; the fold accepts it if it
+//! names the current epoch, and the offset of the accepted record gives the new epoch.
+
+pub mod claimant;
+pub mod fold;
+#[cfg(test)]
+mod tests;
+
+use crate::document::Config;
+use crate::document::ServiceKind;
+use crate::hashing;
+use crate::platform::list::Listed;
+
+/// Returns the name of a cell.
+pub fn cell_name(service: &str, domain: &str, index: u64) -> String {
+    format!("{service}/{domain}/{index}")
+}
+
+/// Returns the cell of `upstream`, or `None` when its service has no engines.
+///
+/// The cell depends on the names only, so instances with different lists agree on it.
+pub fn cell_of(config: &Config, upstream: &Listed) -> Option<String> {
+    let service = config.services.get(&upstream.service)?;
+    if service.kind != ServiceKind::Engine {
+        return None;
+    }
+    let index = hashing::stable_hash(&["cell", &upstream.id]) % service.cells_per_domain;
+    Some(cell_name(&upstream.service, &upstream.domain, index))
+}
+
+/// Returns the parts of a cell's name: service, domain, index.
+pub fn cell_parts(cell: &str) -> Option<(&str, &str, u64)> {
+    let (rest, index) = cell.rsplit_once('/')?;
+    let (service, domain) = rest.rsplit_once('/')?;
+    Some((service, domain, index.parse().ok()?))
+}
--- /dev/null
+++ b/lovageridge/src/lib.rs
@@ -0,0 +1,29 @@
+//! lovageridge serves rarely used language models that the partners of a joint venture share.
+//!
+//! It is every process between callers and upstreams. `docs/ARCHITECTURE.md` shows the path of a
+//! request and which module owns which duty.
+
+pub mod admin;
+pub mod admission;
+pub mod attempts;
+pub mod callers;
+pub mod cli;
+pub mod clock;
+pub mod config;
+pub mod context;
+pub mod dispatch;
+pub mod document;
+pub mod hashing;
+pub mod ini;
+pub mod instance;
+pub mod leadership;
+pub mod membership;
+pub mod outbound;
+pub mod placement;
+pub mod platform;
+pub mod routing;
+pub mod settings;
+pub mod sorted;
+pub mod telemetry;
+pub mod upstream;
+pub mod wire;
--- /dev/null
+++ b/lovageridge/src/main.rs
@@ -0,0 +1,7 @@
+//! Command of lovageridge.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    lovageridge::cli::run()
+}
--- /dev/null
+++ b/lovageridge/src/membership.rs
@@ -0,0 +1,256 @@
+//! The membership duty: the lagging list merged with heartbeats.
+//!
+//! Suspicion is local and moves no authority; only the log does. An instance sends heartbeats to
+//! all near members (those of its own failure domain, up to a bound) at each beat, and to a few
+//! others in rotation, so that the cost of a node does not grow with the number of nodes.
+
+pub mod duty;
+#[cfg(test)]
+mod tests;
+
+use std::net::SocketAddr;
+
+use crate::hashing;
+use crate::platform::list::ENTRY_SERVICE;
+use crate::platform::list::Listed;
+use crate::sorted::Table;
+use crate::wire::Beat;
+use crate::wire::LeadOf;
+use crate::wire::StoreUse;
+
+/// Most near members that get every heartbeat.
+pub const NEAR_MAX: usize = 8;
+/// Other members that get a heartbeat at each beat.
+pub const FAR_PER_BEAT: usize = 3;
+/// Time for which a listed member that was never heard of is taken to live, in ms.
+const UNHEARD_GRACE_MS: u64 = 3000;
+/// Time after which a member that is neither listed nor heard of is forgotten, in ms.
+const FORGET_MS: u64 = 60_000;
+
+/// Another entry instance.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Failure domain of the member.
+    pub domain: String,
+    /// Address of its peers port.
+    pub peers_addr: SocketAddr,
+    /// Start time of its process; 0 until it was heard of.
+    pub incarnation: u64,
+    /// Time of the last heartbeat, in ms.
+    pub heard_ms: Option<u64>,
+    /// Time of its first appearance, in ms.
+    pub known_ms: u64,
+    /// Whether the platform lists it.
+    pub listed: bool,
+    /// Whether it is shutting down or about to be reclaimed.
+    pub leaving: bool,
+    /// Version of its configuration.
+    pub config_version: u64,
+    /// Cells that it leads.
+    pub leads: Vec<LeadOf>,
+    /// Its use of the weight store.
+    pub store: StoreUse,
+}
+
+/// The own identity.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name of the instance.
+    pub instance_id: String,
+    /// Failure domain of the instance.
+    pub domain: String,
+    /// Time between heartbeats, in ms.
+    pub beat_ms: u64,
+    /// Silence after which a near member is suspected, in ms.
+    pub suspect_ms: u64,
+}
+
+/// What is known of the other instances and of the upstreams.
+#[derive(Clone, Debug)]
+pub struct Members {
+    own: Identity,
+    members: Table<String, Member>,
+    upstreams: Vec<Listed>,
+    list_read_ms: Option<u64>,
+    far_cursor: usize,
+}
+
+impl Members {
+    /// Returns a view in which nobody else is known.
+    pub fn new(own: Identity) -> Self {
+        Self {
+            own,
+            members: Table::new(),
+            upstreams: Vec::new(),
+            list_read_ms: None,
+            far_cursor: 0,
+        }
+    }
+
+    /// Takes over a list that was read from the platform.
+    pub fn on_list(&mut self, list: &[Listed], now_ms: u64) {
+        self.list_read_ms = Some(now_ms);
+        self.upstreams = list.iter().filter(|l| l.service != ENTRY_SERVICE).cloned().collect();
+        self.members.iter_mut().for_each(|(_, m)| m.listed = false);
+        for listed in list.iter().filter(|l| l.service == ENTRY_SERVICE) {
+            self.on_listed_entry(listed, now_ms);
+        }
+        self.forget(now_ms);
+    }
+
+    fn on_listed_entry(&mut self, listed: &Listed, now_ms: u64) {
+        let Some(peers_addr) = listed.peers_addr else { return };
+        if listed.id == self.own.instance_id {
+            return;
+        }
+        let member = self.members.get_or_insert_with(listed.id.clone(), || Member {
+            domain: listed.domain.clone(),
+            peers_addr,
+            incarnation: 0,
+            heard_ms: None,
+            known_ms: now_ms,
+            listed: true,
+            leaving: false,
+            config_version: 0,
+            leads: Vec::new(),
+            store: StoreUse::default(),
+        });
+        member.listed = true;
+        member.leaving |= listed.leaving;
+    }
+
+    /// Takes over a heartbeat; one from an earlier process of the same name is ignored.
+    pub fn on_beat(&mut self, from: &str, beat: &Beat, now_ms: u64) {
+        if from == self.own.instance_id {
+            return;
+        }
+        let known = self.members.get(from);
+        if known.is_some_and(|m| m.incarnation > beat.incarnation) {
+            return;
+        }
+        let known_ms = known.map_or(now_ms, |m| m.known_ms);
+        let listed = known.is_some_and(|m| m.listed);
+        let member = Member {
+            domain: beat.domain.clone(),
+            peers_addr: beat.peers_addr,
+            incarnation: beat.incarnation,
+            heard_ms: Some(now_ms),
+            known_ms,
+            listed,
+            leaving: beat.leaving,
+            config_version: beat.config_version,
+            leads: beat.leads.clone(),
+            store: beat.store,
+        };
+        self.members.insert(from.to_owned(), member);
+    }
+
+    fn forget(&mut self, now_ms: u64) {
+        self.members.retain(|_, m| {
+            let last_ms = m.heard_ms.unwrap_or(m.known_ms);
+            m.listed || now_ms.saturating_sub(last_ms) < FORGET_MS
+        });
+    }
+
+    fn is_near(&self, member: &Member) -> bool {
+        member.domain == self.own.domain
+    }
+
+    /// Returns the silence after which `member` is suspected, in ms.
+    fn silence_limit_ms(&self, member: &Member) -> u64 {
+        if self.is_near(member) && self.members.len() <= NEAR_MAX {
+            return self.own.suspect_ms;
+        }
+        let rounds = self.members.len().div_ceil(FAR_PER_BEAT) as u64;
+        self.own.suspect_ms + 3 * rounds * self.own.beat_ms
+    }
+
+    /// Tells whether the member called `id` is taken to live.
+    pub fn is_alive(&self, id: &str, now_ms: u64) -> bool {
+        if id == self.own.instance_id {
+            return true;
+        }
+        self.members.get(id).is_some_and(|member| self.lives(member, now_ms))
+    }
+
+    fn lives(&self, member: &Member, now_ms: u64) -> bool {
+        match member.heard_ms {
+            Some(heard_ms) => now_ms.saturating_sub(heard_ms) < self.silence_limit_ms(member),
+            None => member.listed && now_ms.saturating_sub(member.known_ms) < UNHEARD_GRACE_MS,
+        }
+    }
+
+    /// Returns the members that are taken to live.
+    pub fn alive(&self, now_ms: u64) -> impl Iterator<Item = (&String, &Member)> {
+        self.members.iter().filter(move |(_, m)| self.lives(m, now_ms))
+    }
+
+    /// Returns all members, also those that are suspected.
+    pub fn all(&self) -> impl Iterator<Item = (&String, &Member)> {
+        self.members.iter()
+    }
+
+    /// Returns the address under which the member called `id` is reached.
+    pub fn peers_addr(&self, id: &str) -> Option<SocketAddr> {
+        self.members.get(id).map(|member| member.peers_addr)
+    }
+
+    /// Returns the upstreams of the last list.
+    pub fn upstreams(&self) -> &[Listed] {
+        &self.upstreams
+    }
+
+    /// Returns the time at which the list was last read, in ms.
+    pub fn list_read_ms(&self) -> Option<u64> {
+        self.list_read_ms
+    }
+
+    /// Returns the lead of `cell` as the heartbeats tell: the living member of highest epoch.
+    pub fn lead_of(&self, cell: &str, now_ms: u64) -> Option<(&str, SocketAddr, u64)> {
+        self.alive(now_ms)
+            .filter_map(|(id, m)| {
+                let lead = m.leads.iter().find(|lead| lead.cell == cell)?;
+                Some((id.as_str(), m.peers_addr, lead.epoch))
+            })
+            .max_by_key(|(_, _, epoch)| *epoch)
+    }
+
+    /// Returns the rank of the own instance among the candidates for `cell` in `domain`.
+    ///
+    /// Candidates are the living instances of the domain that are not leaving. Instances of other
+    /// domains are candidates only when the domain has none that is listed or was heard of.
+    pub fn own_rank(&self, cell: &str, domain: &str, now_ms: u64) -> Option<usize> {
+        let own_is_local = self.own.domain == domain;
+        let domain_has_entries = own_is_local || self.members.values().any(|m| m.domain == domain);
+        if domain_has_entries && !own_is_local {
+            return None;
+        }
+        let mut ids: Vec<&str> = self
+            .alive(now_ms)
+            .filter(|(_, m)| !m.leaving && (!domain_has_entries || m.domain == domain))
+            .map(|(id, _)| id.as_str())
+            .collect();
+        ids.push(&self.own.instance_id);
+        hashing::rendezvous_order(cell, &mut ids, |id| id);
+        ids.iter().position(|id| *id == self.own.instance_id)
+    }
+
+    /// Returns the addresses for the next heartbeat and moves the rotation on.
+    pub fn beat_targets(&mut self) -> Vec<SocketAddr> {
+        let (near, far): (Vec<&Member>, Vec<&Member>) =
+            self.members.values().partition(|m| m.domain == self.own.domain);
+        let split = near.len().min(NEAR_MAX);
+        let mut targets: Vec<SocketAddr> = near[..split].iter().map(|m| m.peers_addr).collect();
+        let rest: Vec<&Member> = near[split..].iter().copied().chain(far).collect();
+        for step in 0..FAR_PER_BEAT.min(rest.len()) {
+            targets.push(rest[(self.far_cursor + step) % rest.len()].peers_addr);
+        }
+        self.far_cursor = self.far_cursor.wrapping_add(FAR_PER_BEAT) % rest.len().max(1);
+        targets
+    }
+
+    /// Returns the use of the weight store by all living members.
+    pub fn store_uses(&self, now_ms: u64) -> Vec<StoreUse> {
+        self.alive(now_ms).map(|(_, m)| m.store).collect()
+    }
+}
--- /dev/null
+++ b/lovageridge/src/membership/duty.rs
@@ -0,0 +1,135 @@
+//! Threads of the membership duty: heartbeats, datagrams, the list, questions over TCP.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+
+use crate::config;
+use crate::context::Context;
+use crate::context::lock;
+use crate::dispatch::duty::Event as DispatchEvent;
+use crate::placement::duty::Event as LeadEvent;
+use crate::platform::list;
+use crate::telemetry::events;
+use crate::wire;
+use crate::wire::Beat;
+use crate::wire::Datagram;
+use crate::wire::Message;
+
+/// Time between reads of the list, in ms.
+const LIST_PERIOD_MS: u64 = 500;
+/// Longest wait for a datagram, so that a stop is noticed.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Pause of the TCP listener when nobody asks.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Sends heartbeats until the instance stops.
+pub fn run_beats(ctx: &Context) {
+    while !ctx.is_stopped() {
+        send_beat(ctx);
+        ctx.pause_ms(ctx.settings.timing.beat_ms);
+    }
+}
+
+/// Sends one round of heartbeats.
+pub fn send_beat(ctx: &Context) {
+    let beat = Beat {
+        incarnation: ctx.own.incarnation,
+        domain: ctx.own.domain.clone(),
+        peers_addr: ctx.settings.advertised_peers_addr,
+        callers_addr: ctx.settings.callers_addr,
+        config_version: ctx.config.current().version,
+        leaving: ctx.is_leaving(),
+        leads: lock(&ctx.leads).clone(),
+        store: *lock(&ctx.store_use),
+    };
+    let bytes = wire::encode(&ctx.own.instance_id, Message::Beat(beat));
+    let targets = ctx.members().beat_targets();
+    for to in targets {
+        ctx.send_bytes(to, &bytes);
+    }
+}
+
+/// Reads the list until the instance stops; while it cannot be read, the last one stays in force.
+pub fn run_list(ctx: &Context) {
+    let mut reachable = true;
+    while !ctx.is_stopped() {
+        match list::read(ctx.settings.list_addr) {
+            Ok(listed) => {
+                let now_ms = ctx.clock.now_ms();
+                ctx.members().on_list(&listed, now_ms);
+                ctx.offer_dispatch(DispatchEvent::Listed(listed));
+                if !reachable {
+                    info!("{}", events::LIST_REACHABLE.text(&ctx.own.instance_id, ""));
+                }
+                reachable = true;
+            }
+            Err(error) => {
+                if reachable {
+                    let detail = error.to_string();
+                    warn!("{}", events::LIST_UNREACHABLE.text(&ctx.own.instance_id, &detail));
+                }
+                reachable = false;
+            }
+        }
+        ctx.pause_ms(LIST_PERIOD_MS);
+    }
+}
+
+/// Receives datagrams until the instance stops.
+pub fn run_receiver(ctx: &Context) {
+    let mut buffer = vec![0; wire::DATAGRAM_MAX_BYTES];
+    if let Err(error) = ctx.socket.set_read_timeout(Some(RECEIVE_TIMEOUT)) {
+        warn!("{}", events::PEERS_PORT.text(&ctx.own.instance_id, &error.to_string()));
+    }
+    while !ctx.is_stopped() {
+        let Ok((len, _)) = ctx.socket.recv_from(&mut buffer) else { continue };
+        ctx.metrics.control_bytes_received.inc_by(len as u64);
+        match wire::decode(&buffer[..len]) {
+            Some(datagram) => on_datagram(ctx, datagram),
+            None => ctx.metrics.datagrams_dropped.inc(),
+        }
+    }
+}
+
+fn on_datagram(ctx: &Context, datagram: Datagram) {
+    let from = datagram.from;
+    match datagram.message {
+        Message::Beat(beat) => {
+            let now_ms = ctx.clock.now_ms();
+            ctx.members().on_beat(&from, &beat, now_ms);
+        }
+        Message::Worker(view) => ctx.offer_dispatch(DispatchEvent::Worker(view)),
+        Message::ColdReply(reply) => ctx.offer_dispatch(DispatchEvent::Reply(reply)),
+        Message::Admitted(report) => ctx.offer_dispatch(DispatchEvent::Admitted { from, report }),
+        Message::ColdAsk(ask) => {
+            // The reply goes where the asker says that it is reached, not where the datagram
+            // came from: address translation may stand between.
+            if let Some(from_addr) = ctx.members().peers_addr(&from) {
+                ctx.offer_lead(LeadEvent::Ask { from, from_addr: Some(from_addr), ask });
+            }
+        }
+        Message::Use(report) => ctx.offer_lead(LeadEvent::Use { from, report }),
+    }
+}
+
+/// Answers questions over TCP until the instance stops.
+pub fn run_questions(ctx: &Context, listener: &TcpListener) {
+    if let Err(error) = listener.set_nonblocking(true) {
+        warn!("{}", events::PEERS_PORT.text(&ctx.own.instance_id, &error.to_string()));
+        return;
+    }
+    while !ctx.is_stopped() {
+        let Ok((stream, _)) = listener.accept() else {
+            thread::sleep(ACCEPT_PAUSE);
+            continue;
+        };
+        if stream.set_nonblocking(false).is_ok() {
+            config::duty::answer(&Arc::clone(&ctx.config), stream);
+        }
+    }
+}
--- /dev/null
+++ b/lovageridge/src/placement.rs
@@ -0,0 +1,14 @@
+//! The placement duty: the lead of a cell decides replicas, orders loads and evicts.
+
+pub mod call;
+pub mod core;
+pub mod demand;
+pub mod duty;
+pub mod evict;
+pub mod keep;
+pub mod ledger;
+pub mod pace;
+pub mod publish;
+pub mod record;
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/lovageridge/src/routing.rs
@@ -0,0 +1,211 @@
+//! The routing slice: which replica gets a request.
+//!
+//! A router knows its own requests in progress and the lagging reports of the leads. Of two random
+//! candidates it takes the less loaded one, so that many routers with the same stale report do not
+//! all run to the same replica.
+
+pub mod plain;
+#[cfg(test)]
+mod tests;
+
+use std::net::SocketAddr;
+
+use rand::Rng;
+
+use crate::document::Target;
+use crate::platform::list::Listed;
+use crate::sorted::Table;
+use crate::wire::WorkerView;
+
+/// Time for which a worker that broke a connection gets no new work, in ms.
+const AVOID_MS: u64 = 1000;
+
+/// A worker as a router sees it.
+#[derive(Clone, Debug)]
+struct Replica {
+    view: WorkerView,
+    others_load: u32,
+    own_load: u32,
+    avoid_until_ms: u64,
+    listed: bool,
+    listed_leaving: bool,
+}
+
+impl Replica {
+    fn load(&self) -> u32 {
+        self.others_load + self.own_load
+    }
+
+    fn takes_work(&self, now_ms: u64) -> bool {
+        self.listed && !self.listed_leaving && !self.view.leaving && now_ms >= self.avoid_until_ms
+    }
+
+    fn holds(&self, target: &Target) -> bool {
+        let found = self.view.resident.binary_search_by(|r| r.model.as_str().cmp(&target.model));
+        let Ok(at) = found else { return false };
+        match &target.adapter {
+            None => true,
+            Some(adapter) => self.view.resident[at].adapters.binary_search(adapter).is_ok(),
+        }
+    }
+}
+
+/// An upstream that a request was routed to.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// Name of the upstream.
+    pub upstream: String,
+    /// Address of its HTTP port.
+    pub addr: SocketAddr,
+}
+
+/// State of the replicas of a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Availability {
+    /// No worker that takes work holds the target.
+    Cold,
+    /// All that hold it are full.
+    Full,
+    /// Some replica takes work.
+    Free,
+}
+
+/// What a router knows of the workers.
+#[derive(Clone, Debug, Default)]
+pub struct Replicas {
+    own_domain: String,
+    workers: Table<String, Replica>,
+}
+
+impl Replicas {
+    /// Returns an empty view of an instance in `own_domain`.
+    pub fn new(own_domain: impl Into<String>) -> Self {
+        Self { own_domain: own_domain.into(), workers: Table::new() }
+    }
+
+    /// Takes over a lead's report unless a newer one is known.
+    pub fn on_view(&mut self, view: WorkerView) {
+        let Some(known) = self.workers.get_mut(&view.worker) else {
+            let replica = Replica {
+                others_load: view.load,
+                own_load: 0,
+                avoid_until_ms: 0,
+                listed: true,
+                listed_leaving: false,
+                view,
+            };
+            self.workers.insert(replica.view.worker.clone(), replica);
+            return;
+        };
+        if (view.epoch, view.sequence) <= (known.view.epoch, known.view.sequence) {
+            return;
+        }
+        known.others_load = view.load.saturating_sub(known.own_load);
+        known.view = view;
+    }
+
+    /// Takes over the list: an upstream that is leaving or no longer listed gets no new work.
+    pub fn on_list(&mut self, listed: &[Listed]) {
+        for (id, replica) in self.workers.iter_mut() {
+            let entry = listed.iter().find(|l| l.id == *id);
+            replica.listed = entry.is_some();
+            replica.listed_leaving = entry.is_some_and(|l| l.leaving);
+        }
+        self.workers.retain(|_, replica| replica.listed || replica.own_load > 0);
+    }
+
+    /// Tells whether `target` is held anywhere, and whether a replica has room.
+    pub fn availability(&self, target: &Target, now_ms: u64) -> Availability {
+        let mut availability = Availability::Cold;
+        for replica in self.workers.values() {
+            if !replica.takes_work(now_ms) || !replica.holds(target) {
+                continue;
+            }
+            if replica.load() < replica.view.slots {
+                return Availability::Free;
+            }
+            availability = Availability::Full;
+        }
+        availability
+    }
+
+    /// Returns the sequences that all replicas of `target` batch at once.
+    pub fn slots(&self, target: &Target, now_ms: u64) -> u64 {
+        let holding = self.workers.values().filter(|r| r.takes_work(now_ms) && r.holds(target));
+        holding.map(|r| u64::from(r.view.slots)).sum()
+    }
+
+    /// Chooses a replica of `target` with room, near ones first, and counts the request there.
+    pub fn choose(
+        &mut self,
+        target: &Target,
+        exclude: &[String],
+        rng: &mut impl Rng,
+        now_ms: u64,
+    ) -> Option<Choice> {
+        let fits = |r: &Replica| {
+            r.takes_work(now_ms)
+                && r.holds(target)
+                && r.load() < r.view.slots
+                && !exclude.contains(&r.view.worker)
+        };
+        self.pick(fits, rng)
+    }
+
+    fn pick(&mut self, fits: impl Fn(&Replica) -> bool, rng: &mut impl Rng) -> Option<Choice> {
+        let all: Vec<&Replica> = self.workers.values().filter(|r| fits(r)).collect();
+        let near: Vec<&Replica> =
+            all.iter().copied().filter(|r| r.view.domain == self.own_domain).collect();
+        let pool = if near.is_empty() { all } else { near };
+        let id = less_loaded(&pool, rng)?.view.worker.clone();
+        let replica = self.workers.get_mut(&id)?;
+        replica.own_load += 1;
+        Some(Choice { addr: replica.view.addr, upstream: id })
+    }
+
+    /// Ends a request at `upstream`; after a broken connection it gets no new work for a while.
+    pub fn on_done(&mut self, upstream: &str, broken: bool, now_ms: u64) {
+        if let Some(replica) = self.workers.get_mut(upstream) {
+            replica.own_load = replica.own_load.saturating_sub(1);
+            if broken {
+                replica.avoid_until_ms = now_ms + AVOID_MS;
+            }
+        }
+    }
+
+    /// Notes that `upstream` said it does not hold `target`, until the next report.
+    pub fn on_not_resident(&mut self, upstream: &str, target: &Target) {
+        if let Some(replica) = self.workers.get_mut(upstream) {
+            match &target.adapter {
+                None => replica.view.resident.retain(|r| r.model != target.model),
+                Some(adapter) => {
+                    let models = replica.view.resident.iter_mut();
+                    models.for_each(|r| r.adapters.retain(|a| a != adapter));
+                }
+            }
+        }
+    }
+
+    /// Notes that `upstream` said it is leaving.
+    pub fn on_leaving(&mut self, upstream: &str) {
+        if let Some(replica) = self.workers.get_mut(upstream) {
+            replica.view.leaving = true;
+        }
+    }
+
+    /// Returns the last reports, for status.
+    pub fn views(&self) -> impl Iterator<Item = &WorkerView> {
+        self.workers.values().map(|r| &r.view)
+    }
+}
+
+/// Returns the less loaded of two random members of `pool`.
+fn less_loaded<'a>(pool: &[&'a Replica], rng: &mut impl Rng) -> Option<&'a Replica> {
+    if pool.len() < 2 {
+        return pool.first().copied();
+    }
+    let first = rng.random_range(0..pool.len());
+    let second = (first + rng.random_range(1..pool.len())) % pool.len();
+    let (a, b) = (pool[first], pool[second]);
+    Some(if b.load() < a.load() { b } else { a })
+}
--- /dev/null
+++ b/lovageridge/src/routing/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the routing slice.
--- /dev/null
+++ b/lovageridge/src/upstream/service.rs
@@ -0,0 +1,126 @@
+//! Client of plain services.
+
+use std::io::Read;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use attohttpc::header::HeaderName;
+use attohttpc::header::HeaderValue;
+
+use crate::outbound;
+use crate::upstream::engine::CONNECT_TIMEOUT;
+use crate::upstream::engine::is_connect_failure;
+
+/// Largest answer in bytes.
+const ANSWER_MAX_BYTES: u64 = 16 * 1024 * 1024;
+
+/// A call to pass through.
+#[derive(Clone, Copy, Debug)]
+pub struct PlainRequest<'a> {
+    /// HTTP method.
+    pub method: &'a str,
+    /// Path and query.
+    pub path: &'a str,
+    /// Headers to pass on.
+    pub headers: &'a [(String, String)],
+    /// Body.
+    pub body: &'a [u8],
+}
+
+/// The whole answer of a plain service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PlainAnswer {
+    /// HTTP status.
+    pub status_code: u16,
+    /// Headers to pass back.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// A call without a whole answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No byte can have reached the service.
+    #[error("not sent: {0}")]
+    NotSent(String),
+    /// The service may have run the call.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+    /// The service has run the call, but its answer broke off.
+    #[error("answer broke off: {0}")]
+    Truncated(String),
+}
+
+/// Tells whether a connection to `addr` can be made, without sending anything.
+///
+/// # Errors
+/// Returns [`Error::NotSent`] when it cannot.
+pub fn probe(addr: SocketAddr) -> Result<(), Error> {
+    match TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT) {
+        Ok(_) => Ok(()),
+        Err(error) => Err(Error::NotSent(error.to_string())),
+    }
+}
+
+/// Sends `request` to the service at `addr`, once.
+///
+/// # Errors
+/// See [`Error`].
+pub fn call(
+    addr: SocketAddr,
+    request: PlainRequest<'_>,
+    traceparent: &str,
+    limit: Duration,
+) -> Result<PlainAnswer, Error> {
+    let method = attohttpc::Method::from_bytes(request.method.as_bytes())
+        .map_err(|e| Error::NotSent(e.to_string()))?;
+    let url = format!("http://{addr}{}", request.path);
+    let mut builder = outbound::request(method, url);
+    for (name, value) in request.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_str(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            builder = builder.header(name, value);
+        }
+    }
+    let answer = builder
+        .header("traceparent", traceparent)
+        .connect_timeout(CONNECT_TIMEOUT)
+        .read_timeout(limit)
+        .timeout(limit)
+        .bytes(request.body)
+        .send()
+        .map_err(classify)?;
+    whole(answer)
+}
+
+fn classify(error: attohttpc::Error) -> Error {
+    if is_connect_failure(&error) {
+        Error::NotSent(error.to_string())
+    } else {
+        Error::NoAnswer(error.to_string())
+    }
+}
+
+/// Reads the whole answer and checks it against its announced length.
+fn whole(answer: attohttpc::Response) -> Result<PlainAnswer, Error> {
+    let (status, headers, reader) = answer.split();
+    let announced: Option<u64> =
+        headers.get("content-length").and_then(|v| v.to_str().ok()?.parse().ok());
+    let mut body = Vec::new();
+    reader
+        .take(ANSWER_MAX_BYTES + 1)
+        .read_to_end(&mut body)
+        .map_err(|e| Error::Truncated(e.to_string()))?;
+    let len = body.len() as u64;
+    if len > ANSWER_MAX_BYTES || announced.is_some_and(|announced| announced != len) {
+        return Err(Error::Truncated(format!("{len} bytes of {announced:?}")));
+    }
+    let headers = headers
+        .iter()
+        .filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_owned())))
+        .collect();
+    Ok(PlainAnswer { status_code: status.as_u16(), headers, body })
+}
--- /dev/null
+++ b/lovageridge/src/upstream/stream.rs
@@ -0,0 +1,158 @@
+//! Client of a model engine's generations: one stream of tokens.
+
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::outbound;
+use crate::upstream::engine::CONNECT_TIMEOUT;
+use crate::upstream::engine::is_connect_failure;
+
+/// Longest line of a stream in bytes.
+const LINE_MAX_BYTES: u64 = 1024 * 1024;
+/// Header that carries the reason of a refusal.
+pub const REASON_HEADER: &str = "x-refused";
+/// Reason of an engine that does not hold the target.
+pub const REASON_NOT_RESIDENT: &str = "not_resident";
+/// Reason of an engine that is leaving.
+pub const REASON_LEAVING: &str = "leaving";
+
+/// A generation as an engine takes it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct GenerateRequest {
+    /// Name of the request, for cancelling.
+    pub request_id: String,
+    /// Model that generates.
+    pub model: String,
+    /// Adapter on the model.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adapter: Option<String>,
+    /// Prompt text or chat messages, as the caller sent them.
+    pub input: Value,
+    /// Most tokens to generate.
+    pub max_tokens: u64,
+    /// Urgency from 0, the most urgent.
+    pub priority: u8,
+    /// Tokens that the caller has already; generation goes on after them.
+    #[serde(default)]
+    pub resume_tokens: u64,
+    /// Text of those tokens.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub resume_text: String,
+}
+
+/// One event of a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TokenEvent {
+    /// Number of the token within the whole answer, from 0.
+    pub index: u64,
+    /// Text of the token.
+    pub text: String,
+    /// Set on the last event: why the generation ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub finish_reason: Option<String>,
+}
+
+/// A generation that did not start, or broke.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No connection was made.
+    #[error("not sent: {0}")]
+    NotSent(attohttpc::Error),
+    /// The connection broke or went silent.
+    #[error("broken: {0}")]
+    Broken(String),
+    /// The engine does not hold the target.
+    #[error("not resident")]
+    NotResident,
+    /// The engine is leaving.
+    #[error("leaving")]
+    Leaving,
+    /// The engine is full.
+    #[error("busy")]
+    Busy,
+    /// The engine does not accept the request.
+    #[error("rejected with status {status_code}")]
+    Rejected {
+        /// HTTP status.
+        status_code: u16,
+        /// Text of the answer.
+        reason: String,
+    },
+}
+
+/// A stream of tokens; dropping it closes the connection, which cancels the generation.
+pub struct TokenStream {
+    lines: BufReader<attohttpc::ResponseReader>,
+}
+
+/// Starts a generation at the engine at `addr`.
+///
+/// `silence_limit` bounds the time between bytes, `total_limit` the whole stream.
+///
+/// # Errors
+/// See [`Error`]; after all but [`Error::Broken`] the engine has not run the request.
+pub fn generate(
+    addr: SocketAddr,
+    request: &GenerateRequest,
+    traceparent: &str,
+    silence_limit: Duration,
+    total_limit: Duration,
+) -> Result<TokenStream, Error> {
+    let text = serde_json::to_string(request).map_err(|e| Error::Broken(e.to_string()))?;
+    let answer = outbound::post(format!("http://{addr}/generate"))
+        .header("traceparent", traceparent)
+        .connect_timeout(CONNECT_TIMEOUT)
+        .read_timeout(silence_limit)
+        .timeout(total_limit)
+        .text(text)
+        .send()
+        .map_err(|e| {
+            if is_connect_failure(&e) { Error::NotSent(e) } else { Error::Broken(e.to_string()) }
+        })?;
+    let status_code = answer.status().as_u16();
+    let reason = answer.headers().get(REASON_HEADER).and_then(|v| v.to_str().ok());
+    match (status_code, reason) {
+        (200, _) => {
+            let (_, _, reader) = answer.split();
+            Ok(TokenStream { lines: BufReader::new(reader) })
+        }
+        (_, Some(REASON_NOT_RESIDENT)) => Err(Error::NotResident),
+        (_, Some(REASON_LEAVING)) => Err(Error::Leaving),
+        (429 | 503, _) => Err(Error::Busy),
+        (400..500, _) => {
+            let reason = answer.text_utf8().unwrap_or_default();
+            Err(Error::Rejected { status_code, reason })
+        }
+        _ => Err(Error::Broken(format!("status {status_code}"))),
+    }
+}
+
+impl TokenStream {
+    /// Returns the next event; `None` never stands for the end, which is a `finish_reason`.
+    ///
+    /// # Errors
+    /// Returns [`Error::Broken`] when the stream ends or goes silent before its last event.
+    pub fn next_event(&mut self) -> Result<TokenEvent, Error> {
+        loop {
+            let line = self.read_line().map_err(|e| Error::Broken(e.to_string()))?;
+            let Some(data) = line.trim_end().strip_prefix("data: ") else { continue };
+            return serde_json::from_str(data).map_err(|e| Error::Broken(e.to_string()));
+        }
+    }
+
+    fn read_line(&mut self) -> io::Result<String> {
+        let mut line = String::new();
+        let mut limited = io::Read::take(&mut self.lines, LINE_MAX_BYTES);
+        if limited.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        Ok(line)
+    }
+}
--- /dev/null
+++ b/lovageridge/tests/scenarios.rs
@@ -0,0 +1,32 @@
+//! Runs the scripted scenarios against the real binary, for engines that check fencing and for
+//! engines that ignore it.
+
+use std::path::Path;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use standins::scenario;
+use test_case::test_case;
+
+/// Lets one venture run at a time, so that timings do not depend on the number of test threads.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+fn run(name: &str, fencing: bool) {
+    let _turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let binary = Path::new(env!("CARGO_BIN_EXE_lovageridge"));
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("tests/scenarios/{name}.rhai"));
+    match scenario::run(binary, &file, fencing) {
+        Ok(report) => {
+            for figure in report.figures {
+                println!("FIGURE {name} fencing={fencing} {figure}");
+            }
+        }
+        Err(error) => panic!("{error:#}"),
+    }
+}
+
+#[test_case("cold_burst", true)]
+#[test_case("cold_burst", false)]
+fn scenario_holds(name: &str, fencing: bool) {
+    run(name, fencing);
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,18 @@
+//! Stand-ins for the systems that lovageridge meets, and the runner of scripted scenarios.
+//!
+//! Each stand-in counts what really happened, so that scenarios assert on the truth and not on what
+//! lovageridge believes.
+
+pub mod booking;
+pub mod client;
+pub mod demo;
+pub mod engine;
+pub mod http;
+pub mod list;
+pub mod log;
+pub mod process;
+pub mod relay;
+pub mod scenario;
+pub mod store;
+pub mod venture;
+pub mod world;
--- /dev/null
+++ b/standins/src/main.rs
@@ -0,0 +1,45 @@
+//! Commands around the stand-ins: the demo, measurements and replays.
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use standins::demo;
+
+/// Commands around the stand-ins of lovageridge.
+#[derive(Debug, Options)]
+struct CommandLine {
+    /// print help
+    help: bool,
+    /// the command
+    #[options(command)]
+    command: Option<Command>,
+}
+
+/// The commands.
+#[derive(Debug, Options)]
+enum Command {
+    /// run the Sohar sample on embedded stand-ins, with a burst of callers for a cold model
+    Demo(demo::DemoOptions),
+}
+
+fn main() -> ExitCode {
+    let line = CommandLine::parse_args_default_or_exit();
+    let result = match line.command {
+        Some(Command::Demo(options)) => demo::run(&options),
+        None => {
+            println!(
+                "{}\n\n{}",
+                CommandLine::usage(),
+                CommandLine::command_list().unwrap_or_default()
+            );
+            return ExitCode::from(2);
+        }
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("standins: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/process.rs
@@ -0,0 +1,172 @@
+//! The real binary as child processes, and the signals that scenarios send them.
+
+use std::net::Ipv4Addr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context as _;
+use anyhow::anyhow;
+use nix::sys::signal::Signal;
+use nix::sys::signal::kill;
+use nix::unistd::Pid;
+
+/// Pause between checks whether a process has ended.
+const EXIT_CHECK: Duration = Duration::from_millis(10);
+
+/// A folder for the files of one run, removed with its owner.
+pub struct Workspace {
+    path: PathBuf,
+}
+
+impl Workspace {
+    /// Makes an empty folder.
+    ///
+    /// # Errors
+    /// Returns the error of the file system.
+    pub fn new() -> Result<Self, anyhow::Error> {
+        static COUNT: AtomicU64 = AtomicU64::new(0);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("lovageridge-{}-{number}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path)?;
+        Ok(Self { path })
+    }
+
+    /// Returns the folder.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Writes a file and returns its path.
+    ///
+    /// # Errors
+    /// Returns the error of the file system.
+    pub fn write(&self, name: &str, text: &str) -> Result<PathBuf, anyhow::Error> {
+        let path = self.path.join(name);
+        std::fs::write(&path, text)?;
+        Ok(path)
+    }
+
+    /// Removes the folder.
+    pub fn close(self) {
+        // A folder that stays behind does no harm.
+        let _ = std::fs::remove_dir_all(&self.path);
+    }
+}
+
+/// Returns a loopback port that is free for TCP and UDP.
+///
+/// # Errors
+/// Returns an error when no port can be found.
+pub fn free_port() -> Result<u16, anyhow::Error> {
+    for _ in 0..100 {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let port = listener.local_addr()?.port();
+        if UdpSocket::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+            return Ok(port);
+        }
+    }
+    Err(anyhow!("no free port"))
+}
+
+/// A running instance of the real binary.
+pub struct Process {
+    child: Child,
+    log_file: PathBuf,
+}
+
+impl Process {
+    /// Starts `binary serve` with the settings in `settings_file`; its log goes to `log_file`.
+    ///
+    /// # Errors
+    /// Returns why the process cannot be started.
+    pub fn start(
+        binary: &Path,
+        settings_file: &Path,
+        log_file: &Path,
+    ) -> Result<Self, anyhow::Error> {
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(log_file)?;
+        let child = Command::new(binary)
+            .arg("serve")
+            .arg("--settings")
+            .arg(settings_file)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("cannot start {}", binary.display()))?;
+        Ok(Self { child, log_file: log_file.to_owned() })
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns what the process has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log_file).unwrap_or_default()
+    }
+
+    /// Returns the resident memory in KiB and the processor time in ms.
+    pub fn usage(&self) -> Option<(u64, u64)> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
+        let line = status.lines().find(|l| l.starts_with("VmRSS:"))?;
+        let rss_kib = line.split_whitespace().nth(1)?.parse().ok()?;
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.id())).ok()?;
+        let (_, rest) = stat.rsplit_once(')')?;
+        let fields: Vec<&str> = rest.split_whitespace().collect();
+        let ticks: u64 =
+            fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        // The kernel counts in hundredths of a second for programs.
+        Some((rss_kib, ticks * 10))
+    }
+
+    fn signal(&self, signal: Signal) {
+        // A process that has ended needs no signal.
+        let _ = kill(Pid::from_raw(self.id() as i32), signal);
+    }
+
+    /// Pauses the process.
+    pub fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Asks the process to shut down gracefully.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        // A process that has ended needs no kill.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits until the process has ended; returns whether it ended well in time.
+    pub fn wait(&mut self, timeout: Duration) -> bool {
+        let until = Instant::now() + timeout;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return status.success();
+            }
+            std::thread::sleep(EXIT_CHECK);
+        }
+        false
+    }
+}
--- /dev/null
+++ b/standins/src/relay.rs
@@ -0,0 +1,243 @@
+//! A TCP relay whose traffic can be cut, to make partitions and resets.
+
+use std::io;
+use std::io::Read;
+use std::io::Write;
+use std::net::Ipv4Addr;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use lovageridge::context::lock;
+
+/// Time allowed for connecting to the other side.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Pause of the listener when nobody connects.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
+/// Bytes copied at once.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// What the relay does with connections.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Mode {
+    /// Passes everything on.
+    Pass = 0,
+    /// Closes connections as soon as they are made.
+    Reset = 1,
+    /// Accepts connections and passes nothing on.
+    Silent = 2,
+    /// Passes the request on and drops the answer.
+    LoseAnswers = 3,
+}
+
+struct Shared {
+    mode: AtomicU8,
+    stopped: AtomicBool,
+    open: Mutex<Vec<TcpStream>>,
+    to: SocketAddr,
+}
+
+/// A running relay.
+pub struct Relay {
+    addr: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+impl Relay {
+    /// Starts a relay to `to` on a free loopback port.
+    ///
+    /// # Errors
+    /// Returns why the port cannot be had.
+    pub fn start(to: SocketAddr) -> Result<Self, anyhow::Error> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        listener.set_nonblocking(true)?;
+        let addr = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            mode: AtomicU8::new(Mode::Pass as u8),
+            stopped: AtomicBool::new(false),
+            open: Mutex::default(),
+            to,
+        });
+        let for_listener = Arc::clone(&shared);
+        thread::spawn(move || accept(&listener, &for_listener));
+        Ok(Self { addr, shared })
+    }
+
+    /// Returns the address of the relay.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Changes what happens to connections; open ones are cut when traffic no longer passes.
+    pub fn set_mode(&self, mode: Mode) {
+        self.shared.mode.store(mode as u8, Ordering::SeqCst);
+        if mode == Mode::Reset {
+            self.cut();
+        }
+    }
+
+    /// Cuts all open connections.
+    pub fn cut(&self) {
+        for stream in lock(&self.shared.open).drain(..) {
+            // A connection that has ended needs no cut.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Stops the relay.
+    pub fn close(self) {
+        self.shared.stopped.store(true, Ordering::SeqCst);
+        self.cut();
+    }
+}
+
+fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
+    while !shared.stopped.load(Ordering::SeqCst) {
+        let Ok((stream, _)) = listener.accept() else {
+            thread::sleep(ACCEPT_PAUSE);
+            continue;
+        };
+        if shared.mode.load(Ordering::SeqCst) == Mode::Reset as u8 {
+            continue;
+        }
+        let shared = Arc::clone(shared);
+        thread::spawn(move || connect(&shared, stream));
+    }
+}
+
+fn connect(shared: &Arc<Shared>, from: TcpStream) {
+    if from.set_nonblocking(false).is_err() {
+        return;
+    }
+    let Ok(to) = TcpStream::connect_timeout(&shared.to, CONNECT_TIMEOUT) else { return };
+    let (Ok(from_reader), Ok(to_reader)) = (from.try_clone(), to.try_clone()) else { return };
+    if let (Ok(a), Ok(b)) = (from.try_clone(), to.try_clone()) {
+        let mut open = lock(&shared.open);
+        open.retain(|s| s.peer_addr().is_ok());
+        open.extend([a, b]);
+    }
+    let for_back = Arc::clone(shared);
+    let back = thread::spawn(move || copy(&for_back, to_reader, from, Mode::LoseAnswers));
+    copy(shared, from_reader, to, Mode::Silent);
+    // The thread ends with its connection.
+    let _ = back.join();
+}
+
+/// Copies until one side closes; what passes in `dropping` or while silent is dropped.
+fn copy(shared: &Shared, mut from: TcpStream, mut to: TcpStream, dropping: Mode) {
+    let mut buffer = [0; BUFFER_BYTES];
+    loop {
+        let len = match from.read(&mut buffer) {
+            Ok(0) | Err(_) => break,
+            Ok(len) => len,
+        };
+        let mode = shared.mode.load(Ordering::SeqCst);
+        if mode == Mode::Silent as u8 || mode == dropping as u8 {
+            continue;
+        }
+        if pass(&mut to, &buffer[..len]).is_err() {
+            break;
+        }
+    }
+    // The other side may have closed already.
+    let _ = to.shutdown(Shutdown::Write);
+    let _ = from.shutdown(Shutdown::Read);
+}
+
+fn pass(to: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+    to.write_all(bytes)?;
+    to.flush()
+}
+
+/// A relay in front of one instance's peers port: datagrams and connections by sender.
+pub struct PeerRelay {
+    addr: SocketAddr,
+    blocked: Arc<Mutex<Vec<SocketAddr>>>,
+    stopped: Arc<AtomicBool>,
+}
+
+impl PeerRelay {
+    /// Starts a relay to the peers port at `to`, on a free loopback port.
+    ///
+    /// # Errors
+    /// Returns why the port cannot be had.
+    pub fn start(to: SocketAddr) -> Result<Self, anyhow::Error> {
+        let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let addr = socket.local_addr()?;
+        let listener = TcpListener::bind(addr)?;
+        listener.set_nonblocking(true)?;
+        socket.set_read_timeout(Some(Duration::from_millis(100)))?;
+        let blocked: Arc<Mutex<Vec<SocketAddr>>> = Arc::default();
+        let stopped = Arc::new(AtomicBool::new(false));
+        let (for_udp, for_tcp) = (Arc::clone(&blocked), Arc::clone(&blocked));
+        let (udp_stopped, tcp_stopped) = (Arc::clone(&stopped), Arc::clone(&stopped));
+        thread::spawn(move || relay_datagrams(&socket, to, &for_udp, &udp_stopped));
+        thread::spawn(move || relay_questions(&listener, to, &for_tcp, &tcp_stopped));
+        Ok(Self { addr, blocked, stopped })
+    }
+
+    /// Returns the address of the relay.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Drops the datagrams of the senders at `from`, and all connections while any are dropped.
+    pub fn block(&self, from: Vec<SocketAddr>) {
+        *lock(&self.blocked) = from;
+    }
+
+    /// Stops the relay.
+    pub fn close(self) {
+        self.stopped.store(true, Ordering::SeqCst);
+    }
+}
+
+fn relay_datagrams(
+    socket: &UdpSocket,
+    to: SocketAddr,
+    blocked: &Mutex<Vec<SocketAddr>>,
+    stopped: &AtomicBool,
+) {
+    let mut buffer = vec![0; 65_536];
+    while !stopped.load(Ordering::SeqCst) {
+        let Ok((len, from)) = socket.recv_from(&mut buffer) else { continue };
+        if !lock(blocked).contains(&from) {
+            // A datagram may be lost.
+            let _ = socket.send_to(&buffer[..len], to);
+        }
+    }
+}
+
+/// Passes connections on; their senders cannot be told apart, so any block holds for all.
+fn relay_questions(
+    listener: &TcpListener,
+    to: SocketAddr,
+    blocked: &Mutex<Vec<SocketAddr>>,
+    stopped: &AtomicBool,
+) {
+    let shared = Arc::new(Shared {
+        mode: AtomicU8::new(Mode::Pass as u8),
+        stopped: AtomicBool::new(false),
+        open: Mutex::default(),
+        to,
+    });
+    while !stopped.load(Ordering::SeqCst) {
+        let Ok((stream, _)) = listener.accept() else {
+            thread::sleep(ACCEPT_PAUSE);
+            continue;
+        };
+        if lock(blocked).is_empty() {
+            let shared = Arc::clone(&shared);
+            thread::spawn(move || connect(&shared, stream));
+        }
+    }
+}
