Keep a taken-over model and append decisions after an outage

Cause 1 (lead_killed, engines that ignore fencing): a new lead knew no last use of the models it found resident, took them for idle for ever and unloaded the one that callers were waiting for; it was then loaded twice. Ruled out: a lost view, a second claim (one epoch change in the log). Cause 2 (domain_cut, engines that check fencing): a decision made while the log was unreachable was never appended, so the log showed 1 decision for 2 loads. Change: a target that a lead has not seen in use starts its idle time at the first read; records that could not be appended are kept and appended when the log answers.

--- a/lovageridge/src/placement/core.rs
+++ b/lovageridge/src/placement/core.rs
@@ -311,6 +311,7 @@
         let Some(worker) = self.workers.get(id) else { return };
         for held in &worker.state.held {
             let target = Target { model: held.model.clone(), adapter: held.adapter.clone() };
+            self.demand.know(&target, now_ms);
             let key = (id.to_owned(), target);
             if held.phase == Phase::Loading {
                 self.loading_since.get_or_insert_with(key, || now_ms);
--- a/lovageridge/src/placement/demand.rs
+++ b/lovageridge/src/placement/demand.rs
@@ -91,6 +91,16 @@
         self.usage.insert(target.clone(), usage);
     }
 
+    /// Starts the history of a target that is held but was never seen in use.
+    ///
+    /// A new lead cannot tell for how long it has been idle, so its idle time starts now.
+    pub fn know(&mut self, target: &Target, now_ms: u64) {
+        if !self.usage.contains(target) {
+            let usage = Usage { last_use_ms: now_ms, ..Usage::default() };
+            self.usage.insert(target.clone(), usage);
+        }
+    }
+
     /// Drops asks and reports that are too old to count.
     pub fn expire(&mut self, now_ms: u64) {
         self.asks.retain(|_, by_instance| {
--- a/lovageridge/src/placement/duty.rs
+++ b/lovageridge/src/placement/duty.rs
@@ -1,5 +1,6 @@
 //! Threads of the placement duty: claims, leads and the calls to workers.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -57,6 +58,8 @@
 const CALLER_THREADS: usize = 8;
 /// Threads that append to the log; a slow append does not hold up the others.
 const LOG_THREADS: usize = 4;
+/// Most records that one thread keeps while the log is down.
+const KEPT_RECORDS: usize = 4096;
 /// Time between decisions, in ms.
 const TICK_MS: u64 = 20;
 /// Time between views of the cells, in ms.
@@ -702,13 +705,22 @@
 
 /// Appends records and reads decisions until the ring closes.
 fn run_log_jobs(ctx: &Context, ring: &Receiver<LogJob>) {
-    while let Ok(job) = ring.recv() {
+    let mut kept: VecDeque<(String, record::Record)> = VecDeque::new();
+    loop {
+        append_kept(ctx, &mut kept);
+        let job = match ring.recv_timeout(Duration::from_millis(RETRY_MS)) {
+            Ok(job) => job,
+            Err(RecvTimeoutError::Timeout) => continue,
+            Err(RecvTimeoutError::Disconnected) => return,
+        };
         match job {
             LogJob::Append { stream, record, logged } => {
                 let appended = append(ctx, &stream, &record);
                 if let Some((cell, epoch, sequence)) = logged {
                     retry_decision(ctx, &stream, &record, appended);
                     ctx.offer_lead(Event::Logged { cell, epoch, sequence });
+                } else if !appended && kept.len() < KEPT_RECORDS {
+                    kept.push_back((stream, record));
                 }
             }
             LogJob::Claim(record) => drop(append(ctx, fold::STREAM, &record)),
@@ -726,6 +738,16 @@
     }
 }
 
+/// Appends what an outage of the log kept back: decisions of leads whose engines check fencing.
+fn append_kept(ctx: &Context, kept: &mut VecDeque<(String, record::Record)>) {
+    while let Some((stream, record)) = kept.front() {
+        if ctx.is_stopped() || !append(ctx, stream, record) {
+            return;
+        }
+        kept.pop_front();
+    }
+}
+
 fn append(ctx: &Context, stream: &str, record: &impl serde::Serialize) -> bool {
     let result = ctx.log.append(stream, record);
     let label = if result.is_ok() { "ok" } else { "failed" };
--- a/lovageridge/tests/scenarios.rs
+++ b/lovageridge/tests/scenarios.rs
@@ -27,6 +27,26 @@
 
 #[test_case("cold_burst", true)]
 #[test_case("cold_burst", false)]
+#[test_case("lead_killed", true)]
+#[test_case("lead_killed", false)]
+#[test_case("lead_paused", true)]
+#[test_case("lead_paused", false)]
+#[test_case("log_down", true)]
+#[test_case("log_down", false)]
+#[test_case("bookings", true)]
+#[test_case("bookings", false)]
+#[test_case("entry_killed", true)]
+#[test_case("entry_killed", false)]
+#[test_case("broken_streams", true)]
+#[test_case("broken_streams", false)]
+#[test_case("leaving_upstream", true)]
+#[test_case("leaving_upstream", false)]
+#[test_case("rolling_restart", true)]
+#[test_case("rolling_restart", false)]
+#[test_case("config_edits", true)]
+#[test_case("config_edits", false)]
+#[test_case("domain_cut", true)]
+#[test_case("domain_cut", false)]
 fn scenario_holds(name: &str, fencing: bool) {
     run(name, fencing);
 }
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -19,6 +19,12 @@
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
 
+/// Lowest port that is handed out.
+const FIRST_PORT: u16 = 12_000;
+/// Number of ports that are handed out in turn.
+const PORT_COUNT: u64 = 18_000;
+/// Ports between the starts of two processes with neighbouring ids.
+const PORTS_PER_PROCESS: u64 = 64;
 /// Pause between checks whether a process has ended.
 const EXIT_CHECK: Duration = Duration::from_millis(10);
 
@@ -63,15 +69,21 @@
     }
 }
 
-/// Returns a loopback port that is free for TCP and UDP.
+/// Returns a loopback port that is free for TCP and UDP, below the range of outgoing connections.
+///
+/// Each call gives another port, so that a port stays free until its process binds it.
 ///
 /// # Errors
 /// Returns an error when no port can be found.
 pub fn free_port() -> Result<u16, anyhow::Error> {
-    for _ in 0..100 {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
-        let port = listener.local_addr()?.port();
-        if UdpSocket::bind((Ipv4Addr::LOCALHOST, port)).is_ok() {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let start = u64::from(std::process::id()) * PORTS_PER_PROCESS;
+    for _ in 0..PORT_COUNT {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = FIRST_PORT + ((start + step) % PORT_COUNT) as u16;
+        let tcp = TcpListener::bind((Ipv4Addr::LOCALHOST, port));
+        let udp = UdpSocket::bind((Ipv4Addr::LOCALHOST, port));
+        if tcp.is_ok() && udp.is_ok() {
             return Ok(port);
         }
     }
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -19,6 +19,8 @@
 
 use lovageridge::context::lock;
 
+use crate::process::free_port;
+
 /// Time allowed for connecting to the other side.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Pause of the listener when nobody connects.
@@ -171,7 +173,7 @@
     /// # Errors
     /// Returns why the port cannot be had.
     pub fn start(to: SocketAddr) -> Result<Self, anyhow::Error> {
-        let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, free_port()?))?;
         let addr = socket.local_addr()?;
         let listener = TcpListener::bind(addr)?;
         listener.set_nonblocking(true)?;
