Ignore answers to calls of an earlier epoch

Change: the epoch is checked before the call counts as ended; a worker that shows a lower fencing number than it was given has restarted and is fenced again before any order.

--- a/lovageridge/src/placement/core.rs
+++ b/lovageridge/src/placement/core.rs
@@ -253,14 +253,20 @@
     /// Takes over the result of a call; returns records to append.
     pub fn on_result(&mut self, config: &Config, result: CallResult, now_ms: u64) -> Vec<Record> {
         let Some(worker) = self.workers.get_mut(&result.worker) else { return Vec::new() };
-        worker.busy_since_ms = None;
+        // An answer to a call of an earlier epoch says nothing about the call that is outstanding.
         if result.epoch != self.held.epoch {
             return Vec::new();
         }
+        worker.busy_since_ms = None;
         match result.result {
             Ok(state) => {
+                // A worker that has restarted has forgotten its fencing number: fence it again.
+                let forgot = self.checks_fencing && state.fence < fence_number(self.held.epoch, 0);
+                if forgot {
+                    worker.ready_epoch = 0;
+                }
                 let settled = worker.on_state(state, result.begun_ms);
-                if result.purpose == Purpose::Fence {
+                if result.purpose == Purpose::Fence && !forgot {
                     worker.ready_epoch = self.held.epoch;
                 }
                 let id = result.worker;
--- /dev/null
+++ b/lovageridge/tests/interleavings.rs
@@ -0,0 +1,39 @@
+//! Thousands of interleavings of claims, leases, orders, pauses and outages, in virtual time.
+//!
+//! The decisions are the product's own; only sockets, threads and time are simulated. A failure
+//! prints its seed, and `LOVAGERIDGE_SEED` runs that seed alone.
+
+#[path = "interleavings/sim.rs"]
+mod sim;
+
+use test_case::test_case;
+
+/// Seeds that one run tries.
+const SEEDS: u64 = 8000;
+
+fn seeds() -> Vec<u64> {
+    match std::env::var("LOVAGERIDGE_SEED").ok().and_then(|text| text.parse().ok()) {
+        Some(seed) => vec![seed],
+        None => (0..SEEDS).collect(),
+    }
+}
+
+#[test_case(true)]
+#[test_case(false)]
+fn memory_and_replicas_hold_in_every_interleaving(checks_fencing: bool) {
+    let mut decided = 0;
+    let mut takeovers = 0;
+    for seed in seeds() {
+        let outcome = sim::run(seed, checks_fencing);
+        let what = format!("seed {seed}, fencing {checks_fencing}: {outcome:?}");
+        assert_eq!(outcome.overcommits, 0, "{what}");
+        assert!(outcome.undecided_loads.is_empty(), "{what}");
+        decided += outcome.decisions;
+        takeovers += outcome.takeovers;
+    }
+    // A run without decisions or takeovers would prove nothing.
+    assert!(decided > 0 && takeovers > 0, "decided {decided}, takeovers {takeovers}");
+    println!(
+        "FIGURE interleavings fencing={checks_fencing} decisions={decided} takeovers={takeovers}"
+    );
+}
--- /dev/null
+++ b/lovageridge/tests/interleavings/sim.rs
@@ -0,0 +1,547 @@
+//! The simulated surroundings: a log, workers, instances that pause and die, messages that are late
+//! or lost.
+
+use std::net::SocketAddr;
+
+use lovageridge::document::Config;
+use lovageridge::document::Target;
+use lovageridge::document::parse;
+use lovageridge::leadership::claimant::Claimant;
+use lovageridge::leadership::claimant::Own;
+use lovageridge::leadership::claimant::Sight;
+use lovageridge::leadership::claimant::permission;
+use lovageridge::leadership::fold;
+use lovageridge::leadership::fold::Fold;
+use lovageridge::placement::call::Call;
+use lovageridge::placement::call::CallResult;
+use lovageridge::placement::call::Failure;
+use lovageridge::placement::core::Action;
+use lovageridge::placement::core::Core;
+use lovageridge::placement::core::Surroundings;
+use lovageridge::placement::record;
+use lovageridge::placement::record::Record;
+use lovageridge::platform::list::Listed;
+use lovageridge::sorted::Table;
+use lovageridge::upstream::engine::EngineState;
+use lovageridge::upstream::engine::Order;
+use lovageridge::wire::ColdAsk;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use standins::engine::memory::LoadStart;
+use standins::engine::memory::Memory;
+
+const CELL: &str = "lm-pool/a/0";
+const INSTANCES: usize = 3;
+const WORKERS: usize = 2;
+const MODELS: u64 = 10;
+const MODEL_MB: u64 = 30;
+const ACCELERATOR_MB: u64 = 100;
+const RUN_MS: u64 = 40_000;
+const TICK_MS: u64 = 20;
+const READ_PERIOD_MS: u64 = 200;
+const LOAD_MS: u64 = 900;
+const LEASE_MS: u64 = 1200;
+const MARGIN_MS: u64 = 200;
+const SUSPECT_MS: u64 = 700;
+const CALL_TIMEOUT_MS: u64 = 1500;
+
+/// What a run came to.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// Times that an accelerator held more than its memory.
+    pub overcommits: u64,
+    /// Loads that were started beyond the decisions for them.
+    pub undecided_loads: Vec<String>,
+    /// Decisions.
+    pub decisions: u64,
+    /// Epochs that were gained.
+    pub takeovers: u64,
+}
+
+/// Something that happens at a time.
+enum Event {
+    Tick { instance: usize },
+    Read { instance: usize },
+    ReadAnswer { instance: usize, begun_ms: u64, fold: Box<Fold> },
+    AppendClaim { claim: fold::Claim },
+    AppendDecision { instance: usize, record: Record, wanted: Option<(u64, u64)> },
+    Logged { instance: usize, epoch: u64, sequence: u64 },
+    Send { instance: usize, epoch: u64, call: Call },
+    Arrive { instance: usize, epoch: u64, call: Call, begun_ms: u64 },
+    Answer { instance: usize, result: CallResult },
+    LoadEnd { worker: usize, model: String, life: u64 },
+    Fault,
+}
+
+/// One instance.
+struct Instance {
+    own: Own,
+    claimant: Claimant,
+    fold: Fold,
+    proof_ms: Option<u64>,
+    core: Option<Core>,
+    paused_until_ms: u64,
+    beat_ms: u64,
+}
+
+struct Sim {
+    rng: SmallRng,
+    checks_fencing: bool,
+    now_ms: u64,
+    queue: Vec<(u64, u64, Event)>,
+    order: u64,
+    claims: Vec<fold::Record>,
+    decisions: Vec<Record>,
+    log_down_until_ms: u64,
+    workers: Vec<Memory>,
+    instances: Vec<Instance>,
+    config: Config,
+    decided: Table<(String, String), u64>,
+    outcome: Outcome,
+}
+
+/// Runs one interleaving.
+pub fn run(seed: u64, checks_fencing: bool) -> Outcome {
+    let mut sim = Sim::new(seed, checks_fencing);
+    for instance in 0..INSTANCES {
+        sim.at(instance as u64 * 7, Event::Tick { instance });
+        sim.at(instance as u64 * 11, Event::Read { instance });
+    }
+    sim.at(1500, Event::Fault);
+    while let Some((at_ms, _, event)) = sim.pop() {
+        if at_ms > RUN_MS {
+            break;
+        }
+        sim.now_ms = at_ms;
+        sim.handle(event);
+    }
+    sim.finish()
+}
+
+fn worker_name(at: usize) -> String {
+    format!("w{at}")
+}
+
+fn addr() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+fn config(checks_fencing: bool) -> Config {
+    let checks = if checks_fencing { "yes" } else { "no" };
+    let mut text = format!(
+        "[venture]\nstore_loads_per_s = 50\nstore_slots = 8\nkeep_alive_max_s = 4\n\
+         [service.lm-pool]\nkind = engine\nchecks_fencing = {checks}\n"
+    );
+    for at in 0..MODELS {
+        text += &format!(
+            "[model.m{at}]\nservice = lm-pool\nsize_mb = {MODEL_MB}\nload_ms = {LOAD_MS}\nreplicas_max = 1\n"
+        );
+    }
+    let sections = parse::split(&text).expect("the text is a document");
+    let bodies = sections.iter().map(|(name, body)| (name.as_str(), body.as_str()));
+    parse::read(1, bodies).expect("the document is valid")
+}
+
+impl Sim {
+    fn new(seed: u64, checks_fencing: bool) -> Self {
+        let instances = (0..INSTANCES).map(|at| Instance {
+            own: Own {
+                instance_id: format!("i{at}"),
+                incarnation: 1,
+                lease_ms: LEASE_MS,
+                margin_ms: MARGIN_MS,
+            },
+            claimant: Claimant::new(CELL),
+            fold: Fold::default(),
+            proof_ms: None,
+            core: None,
+            paused_until_ms: 0,
+            beat_ms: 0,
+        });
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            checks_fencing,
+            now_ms: 0,
+            queue: Vec::new(),
+            order: 0,
+            claims: Vec::new(),
+            decisions: Vec::new(),
+            log_down_until_ms: 0,
+            workers: (0..WORKERS).map(|_| Memory::new(&[ACCELERATOR_MB], 0)).collect(),
+            instances: instances.collect(),
+            config: config(checks_fencing),
+            decided: Table::new(),
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn at(&mut self, at_ms: u64, event: Event) {
+        self.order += 1;
+        let key = (at_ms, self.order);
+        let place = self.queue.partition_point(|(ms, order, _)| (*ms, *order) > key);
+        self.queue.insert(place, (at_ms, self.order, event));
+    }
+
+    fn pop(&mut self) -> Option<(u64, u64, Event)> {
+        self.queue.pop()
+    }
+
+    /// Returns a delay that is short most of the time and long now and then.
+    fn delay(&mut self) -> u64 {
+        if self.rng.random_range(0..12) == 0 {
+            self.rng.random_range(100..CALL_TIMEOUT_MS)
+        } else {
+            self.rng.random_range(1..20)
+        }
+    }
+
+    /// Returns the instance that an event concerns, whose pause puts it off.
+    fn concerns(event: &Event) -> Option<usize> {
+        match event {
+            Event::Tick { instance }
+            | Event::Read { instance }
+            | Event::ReadAnswer { instance, .. }
+            | Event::Logged { instance, .. }
+            | Event::Send { instance, .. }
+            | Event::Answer { instance, .. } => Some(*instance),
+            _ => None,
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        if let Some(instance) = Self::concerns(&event) {
+            let until_ms = self.instances[instance].paused_until_ms;
+            if self.now_ms < until_ms {
+                return self.at(until_ms, event);
+            }
+        }
+        match event {
+            Event::Tick { instance } => self.tick(instance),
+            Event::Read { instance } => self.read(instance),
+            Event::ReadAnswer { instance, begun_ms, fold } => {
+                self.on_read(instance, begun_ms, *fold);
+            }
+            Event::AppendClaim { claim } => {
+                if self.now_ms >= self.log_down_until_ms {
+                    self.claims.push(fold::Record::Claim(claim));
+                }
+            }
+            Event::AppendDecision { instance, record, wanted } => {
+                self.on_append(instance, record, wanted);
+            }
+            Event::Logged { instance, epoch, sequence } => {
+                let core = self.instances[instance].core.as_mut();
+                if let Some(core) = core.filter(|core| core.epoch() == epoch) {
+                    core.on_logged(sequence);
+                }
+            }
+            Event::Send { instance, epoch, call } => self.send(instance, epoch, call),
+            Event::Arrive { instance, epoch, call, begun_ms } => {
+                self.arrive(instance, epoch, call, begun_ms);
+            }
+            Event::Answer { instance, result } => {
+                let now_ms = self.now_ms;
+                if let Some(core) = self.instances[instance].core.as_mut() {
+                    let records = core.on_result(&self.config, result, now_ms);
+                    for record in records {
+                        let event = Event::AppendDecision { instance, record, wanted: None };
+                        self.at(now_ms + 3, event);
+                    }
+                }
+            }
+            Event::LoadEnd { worker, model, life } => {
+                if self.workers[worker].generation == life {
+                    self.workers[worker].end_load(&model, None, false);
+                }
+            }
+            Event::Fault => self.fault(),
+        }
+    }
+
+    /// Pauses an instance now and then between a decision and what follows from it.
+    fn pause_at_times(&mut self, instance: usize) {
+        if self.rng.random_range(0..25) == 0 {
+            let pause_ms = self.rng.random_range(LEASE_MS / 2..LEASE_MS * 4);
+            self.instances[instance].paused_until_ms = self.now_ms + pause_ms;
+        }
+    }
+
+    fn fault(&mut self) {
+        let now_ms = self.now_ms;
+        match self.rng.random_range(0..6) {
+            0..=2 => {
+                // Pauses around the lease are the most telling ones.
+                let at = self.rng.random_range(0..INSTANCES);
+                self.instances[at].paused_until_ms = now_ms + self.rng.random_range(200..5000);
+            }
+            3 => self.log_down_until_ms = now_ms + self.rng.random_range(500..4000),
+            4 => {
+                // The process dies and another of the same name starts.
+                let at = self.rng.random_range(0..INSTANCES);
+                let instance = &mut self.instances[at];
+                instance.own.incarnation += 1;
+                instance.claimant = Claimant::new(CELL);
+                instance.fold = Fold::default();
+                instance.core = None;
+                instance.proof_ms = None;
+            }
+            _ => {
+                let at = self.rng.random_range(0..WORKERS);
+                self.workers[at].restart();
+            }
+        }
+        let next_ms = now_ms + self.rng.random_range(300..4000);
+        self.at(next_ms, Event::Fault);
+    }
+
+    fn read(&mut self, instance: usize) {
+        let now_ms = self.now_ms;
+        self.at(now_ms + READ_PERIOD_MS, Event::Read { instance });
+        if now_ms < self.log_down_until_ms {
+            return;
+        }
+        // The answer shows the log as it is when the request arrives.
+        let mut fold = self.instances[instance].fold.clone();
+        fold.on_bounds(0, self.claims.len() as u64);
+        for (offset, record) in self.claims.iter().enumerate() {
+            fold.apply(offset as u64, record.clone());
+        }
+        let delay_ms = self.delay();
+        let event = Event::ReadAnswer { instance, begun_ms: now_ms, fold: Box::new(fold) };
+        self.at(now_ms + delay_ms, event);
+    }
+
+    fn on_read(&mut self, instance: usize, begun_ms: u64, fold: Fold) {
+        let now_ms = self.now_ms;
+        let state = &mut self.instances[instance];
+        if fold.next_offset() < state.fold.next_offset() {
+            return;
+        }
+        state.fold = fold;
+        state.proof_ms = Some(state.proof_ms.map_or(begun_ms, |at| at.max(begun_ms)));
+        let before = state.claimant.held();
+        if state.claimant.on_fold(&state.own, &state.fold, now_ms) {
+            self.outcome.takeovers += 1;
+        }
+        if state.claimant.held().map(|h| h.epoch) != before.map(|h| h.epoch) {
+            state.core = None;
+        }
+    }
+
+    fn tick(&mut self, instance: usize) {
+        let now_ms = self.now_ms;
+        self.at(now_ms + TICK_MS, Event::Tick { instance });
+        self.instances[instance].beat_ms = now_ms;
+        self.claim(instance);
+        self.start_core(instance);
+        let asks = self.rng.random_range(0..100) < 25;
+        let model = format!("m{}", self.rng.random_range(0..MODELS));
+        let state = &mut self.instances[instance];
+        let Some(core) = state.core.as_mut() else { return };
+        let Some(held) = state.claimant.held() else { return };
+        let listed: Vec<Listed> = (0..WORKERS)
+            .map(|at| Listed {
+                id: worker_name(at),
+                service: "lm-pool".to_owned(),
+                domain: "a".to_owned(),
+                addr: addr(),
+                peers_addr: None,
+                leaving: false,
+            })
+            .collect();
+        core.on_list(&listed, now_ms);
+        if asks {
+            let target = Target { model, adapter: None };
+            let ask = ColdAsk {
+                cell: CELL.to_owned(),
+                target,
+                waiting: 1,
+                deadline_in_ms: 5000,
+                cold: true,
+            };
+            core.on_ask(&self.config, "caller", &ask, now_ms);
+        }
+        let may = permission(self.checks_fencing, held, state.proof_ms, LEASE_MS, now_ms);
+        let around = Surroundings { config: &self.config, others: &[], permission: may, now_ms };
+        let epoch = core.epoch();
+        let actions = core.tick(&around);
+        for action in actions {
+            self.perform(instance, epoch, action);
+        }
+    }
+
+    fn claim(&mut self, instance: usize) {
+        let now_ms = self.now_ms;
+        let lead = self.instances[instance].fold.lead(CELL).cloned();
+        let lead_at = lead.and_then(|lead| {
+            self.instances.iter().position(|i| i.own.instance_id == lead.instance_id)
+        });
+        let alive = lead_at.is_some_and(|at| now_ms < self.instances[at].beat_ms + SUSPECT_MS);
+        let sight = Sight {
+            own_rank: Some(instance),
+            lead_alive: alive,
+            lead_incarnation: lead_at.map_or(0, |at| self.instances[at].own.incarnation),
+        };
+        let state = &mut self.instances[instance];
+        if state.proof_ms.is_none() {
+            return;
+        }
+        let due = state.claimant.claim_due(&state.own, &state.fold, sight, now_ms);
+        if let Some(claim) = due {
+            let delay_ms = self.delay();
+            self.at(now_ms + delay_ms, Event::AppendClaim { claim });
+        }
+    }
+
+    fn start_core(&mut self, instance: usize) {
+        let state = &mut self.instances[instance];
+        let Some(held) = state.claimant.held() else { return };
+        if state.core.is_some() {
+            return;
+        }
+        let checks = self.checks_fencing;
+        if !checks
+            && (self.now_ms < held.prior_lease_over_ms || self.now_ms < self.log_down_until_ms)
+        {
+            return;
+        }
+        let undone = record::undone(self.decisions.iter().cloned());
+        state.core = Some(Core::new(CELL, held, checks, &undone));
+    }
+
+    fn perform(&mut self, instance: usize, epoch: u64, action: Action) {
+        let now_ms = self.now_ms;
+        match action {
+            Action::Call(call) => {
+                if call.order.is_some() {
+                    self.pause_at_times(instance);
+                }
+                let delay_ms = self.delay();
+                self.at(now_ms + delay_ms, Event::Send { instance, epoch, call });
+            }
+            Action::Append(record) => {
+                self.pause_at_times(instance);
+                let mut wanted = None;
+                if let Record::Load(load) = &record {
+                    self.outcome.decisions += 1;
+                    let key = (load.worker.clone(), load.target.model.clone());
+                    *self.decided.get_or_insert_with(key, || 0) += 1;
+                    wanted = Some((load.epoch, load.sequence));
+                }
+                let delay_ms = self.delay();
+                self.at(now_ms + delay_ms, Event::AppendDecision { instance, record, wanted });
+            }
+        }
+    }
+
+    fn on_append(&mut self, instance: usize, record: Record, wanted: Option<(u64, u64)>) {
+        let now_ms = self.now_ms;
+        if now_ms < self.log_down_until_ms {
+            // Appended again until the log answers.
+            return self.at(now_ms + 150, Event::AppendDecision { instance, record, wanted });
+        }
+        let lost = self.rng.random_range(0..10) == 0;
+        self.decisions.push(record.clone());
+        let Some((epoch, sequence)) = wanted else { return };
+        if lost {
+            return self.at(now_ms + 150, Event::AppendDecision { instance, record, wanted });
+        }
+        let delay_ms = self.delay();
+        self.at(now_ms + delay_ms, Event::Logged { instance, epoch, sequence });
+    }
+
+    fn send(&mut self, instance: usize, epoch: u64, call: Call) {
+        let now_ms = self.now_ms;
+        if call.order.is_some() && now_ms >= call.not_after_ms {
+            return self.answer(instance, epoch, call, now_ms, Err(Failure::NotSent), 1);
+        }
+        let delay_ms = self.delay();
+        self.at(now_ms + delay_ms, Event::Arrive { instance, epoch, call, begun_ms: now_ms });
+    }
+
+    fn arrive(&mut self, instance: usize, epoch: u64, call: Call, begun_ms: u64) {
+        let worker = (0..WORKERS).find(|at| worker_name(*at) == call.worker).unwrap_or(0);
+        let result = self.carry_out(worker, &call);
+        let back_ms = self.delay();
+        let lost = self.rng.random_range(0..15) == 0;
+        if lost || self.now_ms + back_ms > begun_ms + CALL_TIMEOUT_MS {
+            let left_ms = (begun_ms + CALL_TIMEOUT_MS).saturating_sub(self.now_ms).max(1);
+            return self.answer(instance, epoch, call, begun_ms, Err(Failure::NoAnswer), left_ms);
+        }
+        self.answer(instance, epoch, call, begun_ms, result, back_ms);
+    }
+
+    fn answer(
+        &mut self,
+        instance: usize,
+        epoch: u64,
+        call: Call,
+        begun_ms: u64,
+        result: Result<EngineState, Failure>,
+        after_ms: u64,
+    ) {
+        let result =
+            CallResult { worker: call.worker, purpose: call.purpose, epoch, begun_ms, result };
+        self.at(self.now_ms + after_ms, Event::Answer { instance, result });
+    }
+
+    fn carry_out(&mut self, worker: usize, call: &Call) -> Result<EngineState, Failure> {
+        let checks = self.checks_fencing;
+        let memory = &mut self.workers[worker];
+        let Some(order) = &call.order else { return Ok(state(memory)) };
+        if checks && order.fence < memory.fence {
+            return Err(Failure::Fenced);
+        }
+        memory.fence = memory.fence.max(order.fence);
+        match &order.order {
+            Order::Load { model, size_mb, accelerators } => {
+                match memory.start_load(model, None, *size_mb, accelerators) {
+                    LoadStart::Started { generation, .. } => {
+                        let model = model.clone();
+                        let event = Event::LoadEnd { worker, model, life: generation };
+                        self.at(self.now_ms + LOAD_MS, event);
+                    }
+                    LoadStart::Held => {}
+                    LoadStart::Refused => return Err(Failure::Refused),
+                }
+            }
+            Order::Unload { model } => {
+                if memory.start_unload(model, None) != 200 {
+                    return Err(Failure::Refused);
+                }
+            }
+            _ => {}
+        }
+        Ok(state(&self.workers[worker]))
+    }
+
+    fn finish(mut self) -> Outcome {
+        for (at, memory) in self.workers.iter().enumerate() {
+            self.outcome.overcommits += memory.truth.overcommits;
+            for (model, loads) in memory.truth.loads.iter() {
+                let key = (worker_name(at), model.clone());
+                let decided = self.decided.get(&key).copied().unwrap_or(0);
+                // A restart of the worker ends its loads; the same decision is then carried out
+                // again when its answer had been lost.
+                if *loads > decided + memory.generation {
+                    let row = format!("{} {model}: {loads} loads, {decided} decisions", key.0);
+                    self.outcome.undecided_loads.push(row);
+                }
+            }
+        }
+        self.outcome
+    }
+}
+
+fn state(memory: &Memory) -> EngineState {
+    EngineState {
+        fence: memory.fence,
+        leaving: false,
+        accelerators_mb: vec![ACCELERATOR_MB],
+        held: memory.held(),
+        slots: 4,
+        load: 0,
+        cached: Vec::new(),
+    }
+}
