Order only on the ground of a fresh read

Change: an order is written only within 500 ms of the read it rests on, else the worker is read first; an engine that restarts refuses connections for longer than that.

--- a/lovageridge/src/placement/core.rs
+++ b/lovageridge/src/placement/core.rs
@@ -44,6 +44,8 @@
 const FAILURE_PAUSE_MS: u64 = 200;
 /// Longest pause after failed calls, in ms.
 const FAILURE_PAUSE_MAX_MS: u64 = 2000;
+/// Time for which a read is the ground of orders, in ms; shorter than the restart of an engine.
+const READ_FRESH_MS: u64 = 500;
 /// Time for which an order may be on its way to a worker, in ms.
 pub const ORDER_LIFE_MS: u64 = 2500;
 /// Time for which a target without room is not planned again, in ms.
@@ -424,6 +426,8 @@
     pub fn tick(&mut self, around: &Surroundings<'_>) -> Vec<Action> {
         self.demand.expire(around.now_ms);
         self.no_room.retain(|_, until_ms| *until_ms > around.now_ms);
+        let workers = &self.workers;
+        self.unload.retain(|(id, target)| workers.get(id).is_some_and(|w| w.is_resident(target)));
         let mut actions = Vec::new();
         if around.permission != Permission::Wait {
             self.plan(around, &mut actions);
@@ -600,8 +604,12 @@
         order: Option<Order>,
         actions: &mut Vec<Action>,
     ) {
+        let fresh_until_ms = match purpose {
+            Purpose::Poll | Purpose::Fence => u64::MAX,
+            Purpose::Load { .. } | Purpose::Unload { .. } => self.fresh_until_ms(id),
+        };
         let not_after_ms = match around.permission {
-            Permission::Until { until_ms } => until_ms,
+            Permission::Until { until_ms } => until_ms.min(fresh_until_ms),
             Permission::Wait => 0,
         };
         let order = order.map(|order| {
@@ -629,6 +637,15 @@
         actions.push(Action::Call(call));
     }
 
+    /// Returns the time until which the last read of the worker `id` may be the ground of an order.
+    ///
+    /// A worker that restarts forgets its fencing number and refuses connections for longer than
+    /// this time, so an order that is written in time meets the process that was read.
+    fn fresh_until_ms(&self, id: &str) -> u64 {
+        let read_ms = self.workers.get(id).and_then(|worker| worker.read_ms);
+        read_ms.map_or(0, |at| at + READ_FRESH_MS)
+    }
+
     /// Returns the next call to the worker `id`, if one is due.
     fn next_call(
         &mut self,
@@ -648,15 +665,36 @@
                 self.poll(worker, around)
             };
         }
-        if may_order {
-            if let Some(call) = self.next_unload(id) {
-                return Some(call);
-            }
-            if let Some(call) = self.next_load(around, id) {
-                return Some(call);
+        let order = if may_order { self.next_order(around, id) } else { None };
+        if order.is_some() && around.now_ms >= self.fresh_until_ms(id) {
+            return Some((Purpose::Poll, None));
+        }
+        match order {
+            Some((purpose, order)) => {
+                self.note_start(id, &purpose);
+                Some((purpose, Some(order)))
             }
+            None => self.poll(self.workers.get(id)?, around),
+        }
+    }
+
+    fn next_order(&mut self, around: &Surroundings<'_>, id: &str) -> Option<(Purpose, Order)> {
+        self.next_unload(id).or_else(|| self.next_load(around, id))
+    }
+
+    /// Takes the load that `purpose` begins out of the pace, unless it is ordered again or local.
+    fn note_start(&mut self, id: &str, purpose: &Purpose) {
+        let Purpose::Load { sequence } = purpose else { return };
+        let Some(worker) = self.workers.get(id) else { return };
+        let found = worker.reservations.iter().find(|r| r.sequence == *sequence);
+        let from_store = found.is_some_and(|r| {
+            r.stage == Stage::Logged
+                && r.target.adapter.is_none()
+                && !worker.has_checkpoint(&r.target.model)
+        });
+        if from_store {
+            self.pace.on_start();
         }
-        self.poll(self.workers.get(id)?, around)
     }
 
     fn is_pausing(&self, worker: &Worker, now_ms: u64) -> bool {
@@ -664,7 +702,7 @@
         worker.failures > 0 && now_ms < worker.failed_ms + pause_ms
     }
 
-    fn next_unload(&self, id: &str) -> Option<(Purpose, Option<Order>)> {
+    fn next_unload(&self, id: &str) -> Option<(Purpose, Order)> {
         let worker = self.workers.get(id)?;
         let mut pending = self.unload.iter().filter(|(worker_id, _)| worker_id == id);
         let (_, target) = pending.find(|(_, target)| worker.is_resident(target))?;
@@ -672,14 +710,10 @@
             None => Order::Unload { model: target.model.clone() },
             Some(adapter) => Order::UnloadAdapter { adapter: adapter.clone() },
         };
-        Some((Purpose::Unload { target: target.clone() }, Some(order)))
+        Some((Purpose::Unload { target: target.clone() }, order))
     }
 
-    fn next_load(
-        &mut self,
-        around: &Surroundings<'_>,
-        id: &str,
-    ) -> Option<(Purpose, Option<Order>)> {
+    fn next_load(&mut self, around: &Surroundings<'_>, id: &str) -> Option<(Purpose, Order)> {
         let own = self.store_use();
         let worker = self.workers.get(id)?;
         let mut ripe: Vec<&Reservation> = worker
@@ -706,11 +740,8 @@
             if !may_start {
                 continue;
             }
-            if !again && !local && !is_adapter {
-                self.pace.on_start();
-            }
             let purpose = Purpose::Load { sequence: reservation.sequence };
-            return Some((purpose, Some(load_order(reservation))));
+            return Some((purpose, load_order(reservation)));
         }
         None
     }
