--- a/lovageridge/src/admission/predict.rs
+++ b/lovageridge/src/admission/predict.rs
@@ -22,6 +22,13 @@
         self.mean_ms
     }
 
+    /// Returns the time that a request of `tokens` should take, in ms; 0 before the first one.
+    ///
+    /// Callers name more tokens than they need, so the usual time bounds it.
+    pub fn expected_ms(&self, tokens: u64) -> u64 {
+        self.mean_ms.min(tokens * self.token_us / 1000)
+    }
+
     /// Returns the expected wait behind `ahead_tokens` on `slots` sequences, in ms.
     ///
     /// Before the first observation there is no ground for a refusal, so it is zero.
--- a/lovageridge/src/admission/queue.rs
+++ b/lovageridge/src/admission/queue.rs
@@ -109,6 +109,7 @@
                 })
                 .collect();
             order.sort_unstable();
+            let waits = !order.is_empty();
             for (start_tag, name, at) in order {
                 let Some(queue) = self.partners.get_mut(&name) else { continue };
                 let Some(result) = take(&queue.waiting[at]) else { continue };
@@ -118,6 +119,10 @@
                     start_tag + request.cost_tokens * TAG_SCALE / request.share_pct.max(1);
                 return Some((request, result));
             }
+            if waits {
+                // Batch requests do not pass others that wait for room.
+                break;
+            }
         }
         self.drop_idle();
         None
@@ -149,11 +154,20 @@
     }
 }
 
+/// Tells whether the deadline of a batch request is so near that it counts as interactive.
+pub fn is_urgent(deadline_ms: u64, service_ms: u64, now_ms: u64) -> bool {
+    deadline_ms.saturating_sub(now_ms) <= service_ms * URGENT_FACTOR + URGENT_MARGIN_MS
+}
+
 /// Returns the position of a partner's next request, among deferrable batch requests or the rest.
 fn head(waiting: &[Waiting], deferrable: bool, service_ms: u64, now_ms: u64) -> Option<usize> {
-    let is_deferrable = |w: &Waiting| {
-        let slack_ms = w.deadline_ms.saturating_sub(now_ms);
-        w.priority == Priority::Batch && slack_ms > service_ms * URGENT_FACTOR + URGENT_MARGIN_MS
+    let effective = |w: &Waiting| {
+        let urgent = w.priority == Priority::Batch && is_urgent(w.deadline_ms, service_ms, now_ms);
+        if urgent { Priority::Interactive } else { w.priority }
     };
-    waiting.iter().position(|w| is_deferrable(w) == deferrable)
+    let candidates = waiting.iter().enumerate();
+    candidates
+        .filter(|(_, w)| (effective(w) == Priority::Batch) == deferrable)
+        .min_by_key(|(_, w)| (effective(w), w.arrived_ms))
+        .map(|(at, _)| at)
 }
--- a/lovageridge/src/attempts/generation.rs
+++ b/lovageridge/src/attempts/generation.rs
@@ -4,6 +4,7 @@
 
 use log::info;
 
+use crate::admission::queue;
 use crate::attempts::grant;
 use crate::attempts::grant::Order;
 use crate::attempts::outcome::Code;
@@ -12,6 +13,7 @@
 use crate::context::Context;
 use crate::dispatch::core::Attempt;
 use crate::dispatch::core::Ended;
+use crate::document::Priority;
 use crate::document::Target;
 use crate::routing::Choice;
 use crate::telemetry::events;
@@ -171,7 +173,7 @@
         adapter: generation.target.adapter.clone(),
         input: generation.input.clone(),
         max_tokens: generation.max_tokens,
-        priority: generation.order.priority as u8,
+        priority: engine_priority(&generation.order, ctx.clock.now_ms()) as u8,
         resume_tokens: progress.delivered,
         resume_text: progress.text.clone(),
     };
@@ -209,6 +211,12 @@
     }
 }
 
+/// Returns the priority that the engine is told: batch requests near their deadline are urgent.
+fn engine_priority(order: &Order, now_ms: u64) -> Priority {
+    let urgent = queue::is_urgent(order.deadline_ms, 0, now_ms);
+    if order.priority == Priority::Batch && urgent { Priority::Interactive } else { order.priority }
+}
+
 fn at_deadline(ctx: &Context, generation: &Generation, error: Error) -> Break {
     if ctx.clock.now_ms() >= generation.order.deadline_ms {
         Break::Deadline
--- a/lovageridge/src/attempts/grant.rs
+++ b/lovageridge/src/attempts/grant.rs
@@ -73,7 +73,12 @@
 
 /// Tells how a request ended at its upstream; this must not be lost, or the slot would be.
 pub fn finish(ctx: &Context, order: &Order, choice: &Choice, ended: Ended) {
-    let event = Event::Done { pool: order.pool.clone(), upstream: choice.upstream.clone(), ended };
+    let event = Event::Done {
+        pool: order.pool.clone(),
+        upstream: choice.upstream.clone(),
+        interactive: order.priority == Priority::Interactive,
+        ended,
+    };
     // The ring is closed only when the instance has stopped.
     let _ = ctx.dispatch.send(event);
 }
--- a/lovageridge/src/callers.rs
+++ b/lovageridge/src/callers.rs
@@ -9,5 +9,3 @@
 pub mod reply;
 pub mod server;
 pub mod services;
-#[cfg(test)]
-mod tests;
--- a/lovageridge/src/callers/server.rs
+++ b/lovageridge/src/callers/server.rs
@@ -304,6 +304,9 @@
 
 /// Returns the plain service whose path is `path` or a parent of it.
 fn plain_service(config: &Config, path: &str) -> Option<String> {
+    if path.split('/').any(|part| part == "..") {
+        return None;
+    }
     let is_below = |base: &str| {
         path.strip_prefix(base).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
     };
--- a/lovageridge/src/dispatch.rs
+++ b/lovageridge/src/dispatch.rs
@@ -3,5 +3,3 @@
 pub mod cells;
 pub mod core;
 pub mod duty;
-#[cfg(test)]
-mod tests;
--- a/lovageridge/src/dispatch/core.rs
+++ b/lovageridge/src/dispatch/core.rs
@@ -135,6 +135,8 @@
     queue: FairQueue,
     service: ServiceTimes,
     in_flight: u32,
+    interactive: u32,
+    interactive_peak: u32,
     asked_ms: Option<u64>,
     expected_ms: Option<u64>,
     used: bool,
@@ -201,6 +203,7 @@
     /// Takes over the number of instances that share the partners' limits.
     pub fn on_instances(&mut self, instances: u64) {
         self.instances = instances.max(1);
+        self.replicas.on_instances(instances);
     }
 
     /// Takes over what another instance has admitted.
@@ -331,7 +334,7 @@
         } else {
             cold_ms + pool.service.wait_ms(ahead, slots.min(u64::from(pool.in_flight.max(1))))
         };
-        let end_ms = now_ms + wait_ms + pool.service.mean_ms();
+        let end_ms = now_ms + wait_ms + pool.service.expected_ms(submit.cost_tokens);
         if wait_ms > 0 && end_ms > submit.deadline_ms {
             let over_ms = end_ms - submit.deadline_ms;
             return Err(Refusal::new(Code::DeadlineUnreachable, over_ms.max(100)));
@@ -351,6 +354,7 @@
         &mut self,
         pool: &PoolKey,
         upstream: &str,
+        interactive: bool,
         ended: Ended,
         now_ms: u64,
     ) -> Vec<Action> {
@@ -358,7 +362,7 @@
         match pool {
             PoolKey::Plain(_) => self.plain.on_done(upstream, broken, now_ms),
             PoolKey::Target(target) => {
-                self.replicas.on_done(upstream, broken, now_ms);
+                self.replicas.on_done(upstream, interactive, broken, now_ms);
                 match ended {
                     Ended::NotResident => self.replicas.on_not_resident(upstream, target),
                     Ended::Leaving => self.replicas.on_leaving(upstream),
@@ -368,6 +372,7 @@
         }
         if let Some(state) = self.pools.get_mut(pool) {
             state.in_flight = state.in_flight.saturating_sub(1);
+            state.interactive = state.interactive.saturating_sub(u32::from(interactive));
             if let Ended::Whole { took_ms, tokens } = ended {
                 state.service.observe(took_ms, tokens);
             }
@@ -423,11 +428,11 @@
     fn refuse_late(&mut self, now_ms: u64) -> Vec<Action> {
         let mut late = Vec::new();
         for (_, pool) in self.pools.iter_mut() {
-            let usual_ms = pool.service.mean_ms();
+            let service = pool.service;
             let ready_ms = pool.expected_ms.map_or(now_ms, |at| at.max(now_ms));
             late.extend(pool.queue.drain(|w| {
-                let hopeless = ready_ms > now_ms && ready_ms + usual_ms > w.deadline_ms;
-                hopeless || now_ms + REFUSE_AHEAD_MS >= w.deadline_ms
+                let end_ms = ready_ms + service.expected_ms(w.cost_tokens).max(REFUSE_AHEAD_MS);
+                end_ms > w.deadline_ms
             }));
         }
         late.into_iter().map(|w| self.refuse(&w, Code::DeadlineUnreachable)).collect()
@@ -456,15 +461,15 @@
         loop {
             let (replicas, plain, rng) = (&mut self.replicas, &mut self.plain, &mut self.rng);
             let popped = pool.queue.pop(service_ms, now_ms, |waiting| match key {
-                PoolKey::Target(target) => {
-                    choose_replica(replicas, target, &waiting.exclude, rng, now_ms)
-                }
+                PoolKey::Target(target) => choose_replica(replicas, target, waiting, rng, now_ms),
                 PoolKey::Plain(service) => {
                     plain.choose(service, slots, &waiting.exclude, rng, now_ms)
                 }
             });
             let Some((waiting, choice)) = popped else { break };
             pool.in_flight += 1;
+            pool.interactive += u32::from(waiting.priority == Priority::Interactive);
+            pool.interactive_peak = pool.interactive_peak.max(pool.interactive);
             pool.expected_ms = None;
             granted.push((waiting, choice));
         }
@@ -486,7 +491,8 @@
             return;
         }
         let Some(model) = self.config.models.get(&target.model) else { return };
-        let availability = self.replicas.availability(target, now_ms);
+        let interactive = pool.queue.iter().any(|w| w.priority == Priority::Interactive);
+        let availability = self.replicas.availability(target, interactive, now_ms);
         if availability == Availability::Free {
             return;
         }
@@ -514,7 +520,9 @@
                     target: target.clone(),
                     in_flight: pool.in_flight,
                     waiting: pool.queue.len() as u32,
+                    interactive_peak: pool.interactive_peak,
                 });
+                pool.interactive_peak = pool.interactive;
             }
         }
         used
@@ -532,11 +540,14 @@
 fn choose_replica(
     replicas: &mut Replicas,
     target: &Target,
-    exclude: &[String],
+    waiting: &Waiting,
     rng: &mut impl Rng,
     now_ms: u64,
 ) -> Option<Choice> {
-    replicas.choose(target, exclude, rng, now_ms).or_else(|| {
-        if exclude.is_empty() { None } else { replicas.choose(target, &[], rng, now_ms) }
-    })
+    let interactive = waiting.priority == Priority::Interactive;
+    let first = replicas.choose(target, interactive, &waiting.exclude, rng, now_ms);
+    if first.is_some() || waiting.exclude.is_empty() {
+        return first;
+    }
+    replicas.choose(target, interactive, &[], rng, now_ms)
 }
--- a/lovageridge/src/dispatch/duty.rs
+++ b/lovageridge/src/dispatch/duty.rs
@@ -54,6 +54,8 @@
         pool: PoolKey,
         /// Name of the upstream.
         upstream: String,
+        /// Whether the request is interactive.
+        interactive: bool,
         /// How it ended.
         ended: Ended,
     },
@@ -148,8 +150,8 @@
                 let actions = self.core.on_submit(submit, now_ms);
                 self.perform(actions);
             }
-            Event::Done { pool, upstream, ended } => {
-                let actions = self.core.on_done(&pool, &upstream, ended, now_ms);
+            Event::Done { pool, upstream, interactive, ended } => {
+                let actions = self.core.on_done(&pool, &upstream, interactive, ended, now_ms);
                 self.perform(actions);
             }
             Event::Cancel { ticket } => {
--- a/lovageridge/src/dispatch/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of the dispatch slice.
--- a/lovageridge/src/placement.rs
+++ b/lovageridge/src/placement.rs
@@ -10,5 +10,3 @@
 pub mod pace;
 pub mod publish;
 pub mod record;
-#[cfg(test)]
-mod tests;
--- a/lovageridge/src/placement/core.rs
+++ b/lovageridge/src/placement/core.rs
@@ -53,6 +53,8 @@
 /// Time after a load before another replica of the same model is decided for load, in ms.
 const SCALE_OUT_PAUSE_MS: u64 = 1000;
 
+/// Part of a worker's slots that is reserved for interactive requests at most.
+const RESERVED_PART: u32 = 4;
 /// Time without use after which a model counts as idle, in ms.
 const IDLE_AFTER_MS: u64 = 1000;
 
@@ -344,6 +346,19 @@
         self.loading_since.retain(|(id, target), _| id != worker_id || !gone(target));
     }
 
+    /// Returns the slots of `worker` to keep free for interactive requests.
+    pub fn reserved_slots(&self, worker: &Worker) -> u32 {
+        let models = worker.state.held.iter().filter(|h| h.adapter.is_none());
+        let wanted: u32 = models
+            .map(|held| {
+                let base = Target { model: held.model.clone(), adapter: None };
+                let replicas = self.usable().filter(|w| w.is_resident(&base)).count().max(1);
+                self.demand.interactive_peak(&held.model).div_ceil(replicas as u32)
+            })
+            .sum();
+        wanted.min(worker.state.slots as u32 / RESERVED_PART)
+    }
+
     /// Returns the number of accelerator shares that hold models nobody uses.
     pub fn idle_accelerators(&self, now_ms: u64) -> u64 {
         let mut idle = 0;
--- a/lovageridge/src/placement/demand.rs
+++ b/lovageridge/src/placement/demand.rs
@@ -11,6 +11,9 @@
 /// Time for which a report of requests in progress counts, in ms.
 const USE_VALID_MS: u64 = 3000;
 
+/// Time for which room is kept after the last interactive requests, in ms.
+const PEAK_HOLD_MS: u64 = 30_000;
+
 /// Callers of one instance who wait for a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Ask {
@@ -25,7 +28,22 @@
 struct Usage {
     last_use_ms: u64,
     idle_times: IdleTimes,
-    in_flight: Table<String, (u32, u64)>,
+    reports: Table<String, InUse>,
+    peaks: Table<String, Peak>,
+}
+
+/// Use of a target by one instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct InUse {
+    in_flight: u32,
+    at_ms: u64,
+}
+
+/// Most interactive requests that one instance lately had in progress at once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Peak {
+    count: u32,
+    at_ms: u64,
 }
 
 /// A target that callers wait for.
@@ -68,7 +86,9 @@
         for used in &report.used {
             self.touch(&used.target, now_ms);
             if let Some(usage) = self.usage.get_mut(&used.target) {
-                usage.in_flight.insert(from.to_owned(), (used.in_flight, now_ms));
+                let in_use = InUse { in_flight: used.in_flight, at_ms: now_ms };
+                usage.reports.insert(from.to_owned(), in_use);
+                usage.note_peak(from, used.interactive_peak, now_ms);
             }
         }
     }
@@ -108,7 +128,8 @@
             !by_instance.is_empty()
         });
         for (_, usage) in self.usage.iter_mut() {
-            usage.in_flight.retain(|_, (_, at_ms)| now_ms.saturating_sub(*at_ms) < USE_VALID_MS);
+            usage.peaks.retain(|_, p| now_ms.saturating_sub(p.at_ms) < PEAK_HOLD_MS);
+            usage.reports.retain(|_, r| now_ms.saturating_sub(r.at_ms) < USE_VALID_MS);
         }
     }
 
@@ -137,6 +158,13 @@
         asked || self.usage.iter().any(|(t, usage)| concerns(t) && usage.is_in_flight())
     }
 
+    /// Returns the interactive requests that all instances lately had in progress on `model` and
+    /// its adapters.
+    pub fn interactive_peak(&self, model: &str) -> u32 {
+        let usages = self.usage.iter().filter(|(target, _)| target.model == model);
+        usages.flat_map(|(_, usage)| usage.peaks.values()).map(|peak| peak.count).sum()
+    }
+
     /// Returns the time since the last use of `target`, in ms; long for one that was never used.
     pub fn idle_ms(&self, target: &Target, now_ms: u64) -> u64 {
         self.usage.get(target).map_or(u64::MAX / 4, |u| now_ms.saturating_sub(u.last_use_ms))
@@ -150,7 +178,15 @@
 }
 
 impl Usage {
+    /// Holds the highest recent peak, so that room is there when interactive requests come back.
+    fn note_peak(&mut self, from: &str, count: u32, now_ms: u64) {
+        let held = self.peaks.get(from).filter(|p| now_ms < p.at_ms + PEAK_HOLD_MS);
+        if held.is_none_or(|p| count >= p.count) {
+            self.peaks.insert(from.to_owned(), Peak { count, at_ms: now_ms });
+        }
+    }
+
     fn is_in_flight(&self) -> bool {
-        self.in_flight.values().any(|(count, _)| *count > 0)
+        self.reports.values().any(|r| r.in_flight > 0)
     }
 }
--- a/lovageridge/src/placement/publish.rs
+++ b/lovageridge/src/placement/publish.rs
@@ -54,7 +54,8 @@
     let same_facts = old.resident == new.resident
         && old.leaving == new.leaving
         && old.addr == new.addr
-        && old.slots == new.slots;
+        && old.slots == new.slots
+        && old.reserved == new.reserved;
     same_facts && old.load.abs_diff(new.load) < step
 }
 
@@ -81,6 +82,7 @@
         leaving: worker.is_leaving(),
         slots: worker.state.slots as u32,
         load: worker.state.load as u32,
+        reserved: core.reserved_slots(worker),
         resident,
     }
 }
--- a/lovageridge/src/routing.rs
+++ b/lovageridge/src/routing.rs
@@ -5,8 +5,6 @@
 //! all run to the same replica.
 
 pub mod plain;
-#[cfg(test)]
-mod tests;
 
 use std::net::SocketAddr;
 
@@ -26,6 +24,7 @@
     view: WorkerView,
     others_load: u32,
     own_load: u32,
+    own_interactive: u32,
     avoid_until_ms: u64,
     listed: bool,
     listed_leaving: bool,
@@ -36,6 +35,23 @@
         self.others_load + self.own_load
     }
 
+    /// Tells whether this instance may send another request.
+    ///
+    /// Each instance has a part of the slots for certain; beyond that it takes what the others
+    /// leave free. Without the part, a flood at one instance would shut out the callers of all.
+    ///
+    /// Requests that are not interactive leave free what interactive ones lately needed.
+    fn has_room(&self, instances: u32, interactive: bool) -> bool {
+        if interactive {
+            let certain = (self.view.slots / instances).max(1);
+            return self.own_load < certain || self.load() < self.view.slots;
+        }
+        let slots = self.view.slots.saturating_sub(self.view.reserved).max(1);
+        let certain = (slots / instances).max(1);
+        let own = self.own_load - self.own_interactive;
+        own < certain || self.load() - self.own_interactive < slots
+    }
+
     fn takes_work(&self, now_ms: u64) -> bool {
         self.listed && !self.listed_leaving && !self.view.leaving && now_ms >= self.avoid_until_ms
     }
@@ -74,13 +90,20 @@
 #[derive(Clone, Debug, Default)]
 pub struct Replicas {
     own_domain: String,
+    /// Instances that share the slots of the workers.
+    instances: u32,
     workers: Table<String, Replica>,
 }
 
 impl Replicas {
     /// Returns an empty view of an instance in `own_domain`.
     pub fn new(own_domain: impl Into<String>) -> Self {
-        Self { own_domain: own_domain.into(), workers: Table::new() }
+        Self { own_domain: own_domain.into(), instances: 1, workers: Table::new() }
+    }
+
+    /// Takes over the number of instances that share the slots of the workers.
+    pub fn on_instances(&mut self, instances: u64) {
+        self.instances = (instances as u32).max(1);
     }
 
     /// Takes over a lead's report unless a newer one is known.
@@ -89,6 +112,7 @@
             let replica = Replica {
                 others_load: view.load,
                 own_load: 0,
+                own_interactive: 0,
                 avoid_until_ms: 0,
                 listed: true,
                 listed_leaving: false,
@@ -115,13 +139,13 @@
     }
 
     /// Tells whether `target` is held anywhere, and whether a replica has room.
-    pub fn availability(&self, target: &Target, now_ms: u64) -> Availability {
+    pub fn availability(&self, target: &Target, interactive: bool, now_ms: u64) -> Availability {
         let mut availability = Availability::Cold;
         for replica in self.workers.values() {
             if !replica.takes_work(now_ms) || !replica.holds(target) {
                 continue;
             }
-            if replica.load() < replica.view.slots {
+            if replica.has_room(self.instances, interactive) {
                 return Availability::Free;
             }
             availability = Availability::Full;
@@ -139,20 +163,27 @@
     pub fn choose(
         &mut self,
         target: &Target,
+        interactive: bool,
         exclude: &[String],
         rng: &mut impl Rng,
         now_ms: u64,
     ) -> Option<Choice> {
+        let instances = self.instances;
         let fits = |r: &Replica| {
             r.takes_work(now_ms)
                 && r.holds(target)
-                && r.load() < r.view.slots
+                && r.has_room(instances, interactive)
                 && !exclude.contains(&r.view.worker)
         };
-        self.pick(fits, rng)
+        self.pick(fits, interactive, rng)
     }
 
-    fn pick(&mut self, fits: impl Fn(&Replica) -> bool, rng: &mut impl Rng) -> Option<Choice> {
+    fn pick(
+        &mut self,
+        fits: impl Fn(&Replica) -> bool,
+        interactive: bool,
+        rng: &mut impl Rng,
+    ) -> Option<Choice> {
         let all: Vec<&Replica> = self.workers.values().filter(|r| fits(r)).collect();
         let near: Vec<&Replica> =
             all.iter().copied().filter(|r| r.view.domain == self.own_domain).collect();
@@ -160,13 +191,16 @@
         let id = less_loaded(&pool, rng)?.view.worker.clone();
         let replica = self.workers.get_mut(&id)?;
         replica.own_load += 1;
+        replica.own_interactive += u32::from(interactive);
         Some(Choice { addr: replica.view.addr, upstream: id })
     }
 
     /// Ends a request at `upstream`; after a broken connection it gets no new work for a while.
-    pub fn on_done(&mut self, upstream: &str, broken: bool, now_ms: u64) {
+    pub fn on_done(&mut self, upstream: &str, interactive: bool, broken: bool, now_ms: u64) {
         if let Some(replica) = self.workers.get_mut(upstream) {
             replica.own_load = replica.own_load.saturating_sub(1);
+            let ended = u32::from(interactive);
+            replica.own_interactive = replica.own_interactive.saturating_sub(ended);
             if broken {
                 replica.avoid_until_ms = now_ms + AVOID_MS;
             }
--- a/lovageridge/src/wire.rs
+++ b/lovageridge/src/wire.rs
@@ -111,6 +111,8 @@
     pub slots: u32,
     /// Sequences in progress or queued.
     pub load: u32,
+    /// Slots kept free for interactive requests, by their recent number.
+    pub reserved: u32,
     /// Models that take work, in order of name.
     pub resident: Vec<ResidentView>,
 }
@@ -184,6 +186,8 @@
     pub in_flight: u32,
     /// Requests waiting.
     pub waiting: u32,
+    /// Most interactive requests in progress at once since the last report.
+    pub interactive_peak: u32,
 }
 
 /// Tokens that an instance has admitted since its start, by partner.
--- /dev/null
+++ b/lovageridge/tests/integration.rs
@@ -0,0 +1,126 @@
+//! Drives the real binary: command line, settings, malformed calls, the administration port.
+
+use std::path::PathBuf;
+use std::process::Command;
+use std::process::Output;
+
+use standins::process::Workspace;
+use standins::venture::Shape;
+use standins::world::World;
+use test_case::test_case;
+
+fn binary() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_lovageridge"))
+}
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(binary()).args(arguments).output().expect("the binary runs")
+}
+
+fn sample(name: &str) -> String {
+    format!("{}/../samples/{name}", env!("CARGO_MANIFEST_DIR"))
+}
+
+#[test_case("sohar.ini")]
+#[test_case("sicilia.ini")]
+fn sample_documents_are_valid(name: &str) {
+    let output = run(&["check", "--document", &sample(name)]);
+    assert!(output.status.success(), "{output:?}");
+}
+
+#[test_case("sohar-entry.ini")]
+#[test_case("sicilia-entry.ini")]
+fn sample_settings_are_valid(name: &str) {
+    let output = run(&["check", "--settings", &sample(name)]);
+    assert!(output.status.success(), "{output:?}");
+}
+
+#[test]
+fn faults_are_told_with_file_section_and_key() {
+    let workspace = Workspace::new().expect("a folder");
+    let text = "[partner.p]\nshare_pct = 0\n[service.s]\nkind = engin\n";
+    let file = workspace.write("bad.ini", text).expect("a file");
+    let output = run(&["check", "--json", "--document", &file.display().to_string()]);
+    workspace.close();
+    assert_eq!(output.status.code(), Some(3));
+    let rows: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    let rows = rows.as_array().expect("a list");
+    assert!(
+        rows.iter().any(|r| r["section"] == "partner.p" && r["key"] == "share_pct"),
+        "{rows:?}"
+    );
+    assert!(rows.iter().any(|r| r["section"] == "service.s" && r["key"] == "kind"), "{rows:?}");
+}
+
+#[test_case(&["serv"], 2, "did you mean 'serve'?")]
+#[test_case(&["check", "--documnt", "x"], 2, "did you mean '--document'?")]
+#[test_case(&[], 2, "a command is missing")]
+#[test_case(&["serve", "--settings", "none.ini"], 1, "cannot read none.ini")]
+fn wrong_arguments_are_told(arguments: &[&str], code: i32, expected: &str) {
+    let output = run(arguments);
+    assert_eq!(output.status.code(), Some(code), "{output:?}");
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(text.contains(expected), "{text}");
+}
+
+/// One small venture for all calls that break the rules of the two ports.
+#[test]
+fn malformed_calls_change_nothing() {
+    let shape = Shape { entries: 1, workers: 1, domains: vec!["a".into()], ..Shape::default() };
+    let world = World::start(binary(), shape, "linger_ms = 100").expect("a venture");
+    let entry = world.entries[0].addrs;
+    let post = |path: &str, key: &str, body: String| {
+        let answer = lovageridge::outbound::post(format!("http://{}{path}", entry.callers))
+            .header("authorization", format!("Bearer {key}"))
+            .text(body)
+            .send()
+            .expect("an answer");
+        (answer.status().as_u16(), answer.text_utf8().unwrap_or_default())
+    };
+    let key = standins::venture::GROWERS_KEY;
+    let ask = |body: &str| post("/v1/completions", key, body.to_owned());
+    let cases = [
+        (ask("{"), 400, "bad_request"),
+        (ask(r#"{"model":"model-00"}"#), 400, "bad_request"),
+        (ask(r#"{"model":"model-00","prompt":"x","max_tokens":0}"#), 400, "bad_request"),
+        (ask(r#"{"model":"none","prompt":"x"}"#), 404, "not_found"),
+        (post("/v1/completions", "wrong", "{}".to_owned()), 401, "unauthorized"),
+        (post("/v1/completions", key, "x".repeat(2_000_000)), 413, "too_large"),
+        (post("/booking/../v1/models", key, String::new()), 404, "not_found"),
+        (post("/nothing", key, String::new()), 404, "not_found"),
+    ];
+    for ((status, text), expected, code) in cases {
+        assert_eq!(status, expected, "{text}");
+        assert!(text.contains(code) && text.contains("\"ran\":\"not_run\""), "{text}");
+    }
+    let (_, metrics) = world.admin(0, "/metrics").expect("metrics");
+    assert!(metrics.contains("lovageridge_malformed_total"), "{metrics}");
+    let before = world.status(0)["config_version"].clone();
+    let oversized = "x".repeat(5_000_000);
+    for (token, body, expected) in
+        [("wrong", "{}", 401), ("ops-token", "{", 400), ("ops-token", oversized.as_str(), 413)]
+    {
+        let answer = lovageridge::outbound::post(format!("http://{}/v1/edits", entry.admin))
+            .header("authorization", format!("Bearer {token}"))
+            .text(body)
+            .send()
+            .expect("an answer");
+        assert_eq!(answer.status().as_u16(), expected);
+    }
+    let (status, _) = world.admin(0, "/v1/sections/../../settings").expect("an answer");
+    assert_eq!(status, 404);
+    assert_eq!(world.status(0)["config_version"], before);
+    world.close().expect("the entry ends well");
+}
+
+#[test]
+fn the_event_catalogue_names_every_event() {
+    let file = format!("{}/../docs/EVENTS.md", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(file).expect("the catalogue");
+    for event in lovageridge::telemetry::events::ALL {
+        let row = format!("| E{:04} | {} |", event.number, event.name);
+        assert!(text.contains(&row), "{row}");
+    }
+    let rows = text.lines().filter(|l| l.starts_with("| E0")).count();
+    assert_eq!(rows, lovageridge::telemetry::events::ALL.len());
+}
--- a/lovageridge/tests/scenarios.rs
+++ b/lovageridge/tests/scenarios.rs
@@ -47,6 +47,12 @@
 #[test_case("config_edits", false)]
 #[test_case("domain_cut", true)]
 #[test_case("domain_cut", false)]
+#[test_case("flood", true)]
+#[test_case("flood", false)]
+#[test_case("overload", true)]
+#[test_case("overload", false)]
+#[test_case("batch_waits", true)]
+#[test_case("batch_waits", false)]
 fn scenario_holds(name: &str, fencing: bool) {
     run(name, fencing);
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod limits;
 pub mod list;
 pub mod log;
+pub mod measure;
 pub mod process;
 pub mod relay;
 pub mod replay;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -5,6 +5,7 @@
 use gumdrop::Options;
 use standins::demo;
 use standins::limits;
+use standins::measure;
 use standins::replay;
 
 /// Commands around the stand-ins of lovageridge.
@@ -24,6 +25,10 @@
     Demo(demo::DemoOptions),
     /// compare ways of holding one rate over many instances
     Limits(limits::LimitsOptions),
+    /// measure latency, throughput and memory of one entry
+    Entry(measure::MeasureOptions),
+    /// measure the cost of control against the size of the venture
+    Control(measure::MeasureOptions),
     /// replay keep-alive policies against baselines
     Replay(replay::ReplayOptions),
 }
@@ -33,6 +38,8 @@
     let result = match line.command {
         Some(Command::Demo(options)) => demo::run(&options),
         Some(Command::Limits(options)) => limits::print(&options),
+        Some(Command::Entry(options)) => measure::entry(&options),
+        Some(Command::Control(options)) => measure::control(&options),
         Some(Command::Replay(options)) => replay::print(&options),
         None => {
             println!(
