Do not take a passing connect failure for lost capacity

Cause: 500 callers at once overran a listener's backlog; one connect that timed out made the only replica avoided for 1 s, its slots counted as none, so the predicted wait of all others was a thousand times too long and 241 to 246 of 500 were refused as hopeless; those who retried used the budget up. Ruled out: the entry's limit on requests, the engine's slots (600). Change: the prediction counts replicas that are avoided for a moment; a replica is avoided after two breaks in a row; a timeout before the silence limit can only be the connect's, so such a request is sent elsewhere without charge, as after a refused connect.

--- a/lovageridge/src/attempts/generation.rs
+++ b/lovageridge/src/attempts/generation.rs
@@ -270,7 +270,11 @@
             progress.exclude.push(choice.upstream.clone());
             (Ended::Abandoned, reroute(progress.exclude.clone(), progress.count))
         }
-        Error::NotSent(_) | Error::Broken(_) => {
+        Error::NotSent(_) => {
+            progress.exclude.push(choice.upstream.clone());
+            (Ended::Broken, reroute(progress.exclude.clone(), progress.count))
+        }
+        Error::Broken(_) => {
             progress.exclude.push(choice.upstream.clone());
             if progress.delivered > 0 {
                 ctx.metrics.resumes_total.inc();
--- a/lovageridge/src/dispatch.rs
+++ b/lovageridge/src/dispatch.rs
@@ -3,3 +3,5 @@
 pub mod cells;
 pub mod core;
 pub mod duty;
+#[cfg(test)]
+mod tests;
--- a/lovageridge/src/dispatch/core.rs
+++ b/lovageridge/src/dispatch/core.rs
@@ -325,14 +325,14 @@
         let share_pct = self.config.partners.get(&submit.partner).map_or(1, |p| p.share_pct);
         let ahead = pool.queue.ahead(&submit.partner, share_pct, submit.priority);
         let slots = match &submit.pool {
-            PoolKey::Target(target) => self.replicas.slots(target, now_ms),
+            PoolKey::Target(target) => self.replicas.certain_slots(target),
             PoolKey::Plain(_) => 1,
         };
         let cold_ms = pool.expected_ms.map_or(0, |at| at.saturating_sub(now_ms));
         let wait_ms = if pool.queue.is_empty() && cold_ms == 0 {
             0
         } else {
-            cold_ms + pool.service.wait_ms(ahead, slots.min(u64::from(pool.in_flight.max(1))))
+            cold_ms + pool.service.wait_ms(ahead, slots.max(u64::from(pool.in_flight)))
         };
         let end_ms = now_ms + wait_ms + pool.service.expected_ms(submit.cost_tokens);
         if wait_ms > 0 && end_ms > submit.deadline_ms {
--- /dev/null
+++ b/lovageridge/src/dispatch/tests.rs
@@ -0,0 +1,116 @@
+//! Tests of the dispatch slice.
+
+use std::sync::Arc;
+
+use crate::attempts::outcome::Code;
+use crate::dispatch::core::Action;
+use crate::dispatch::core::Attempt;
+use crate::dispatch::core::Core;
+use crate::dispatch::core::Ended;
+use crate::dispatch::core::PoolKey;
+use crate::dispatch::core::Submit;
+use crate::document::Priority;
+use crate::document::Target;
+use crate::document::parse;
+use crate::wire::ResidentView;
+use crate::wire::WorkerView;
+
+const DOCUMENT: &str = "[partner.p]\nqueue_max = 100\n[service.lm]\nkind = engine\n\
+    [model.m]\nservice = lm\nsize_mb = 1\n";
+
+fn target() -> Target {
+    Target { model: "m".to_owned(), adapter: None }
+}
+
+fn view(worker: &str, sequence: u64, slots: u32) -> WorkerView {
+    WorkerView {
+        worker: worker.to_owned(),
+        cell: "lm/a/0".to_owned(),
+        service: "lm".to_owned(),
+        domain: "a".to_owned(),
+        addr: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        epoch: 1,
+        sequence,
+        leaving: false,
+        slots,
+        load: 0,
+        reserved: 0,
+        resident: vec![ResidentView { model: "m".to_owned(), adapters: Vec::new() }],
+    }
+}
+
+fn core() -> Core {
+    let sections = parse::split(DOCUMENT).expect("a document");
+    let bodies = sections.iter().map(|(name, body)| (name.as_str(), body.as_str()));
+    let mut core = Core::new("a", 1);
+    core.on_config(Arc::new(parse::read(1, bodies).expect("a valid document")));
+    core
+}
+
+fn submit(ticket: u64, deadline_ms: u64) -> Submit {
+    Submit {
+        ticket,
+        pool: PoolKey::Target(target()),
+        partner: "p".to_owned(),
+        priority: Priority::Standard,
+        cost_tokens: 100,
+        deadline_ms,
+        attempt: Attempt::First,
+    }
+}
+
+fn refusal(actions: &[Action]) -> Option<Code> {
+    actions.iter().find_map(|action| match action {
+        Action::Refuse { refusal, .. } => Some(refusal.code),
+        _ => None,
+    })
+}
+
+#[test]
+fn each_request_gets_one_decision() {
+    let mut core = core();
+    core.replicas().on_view(view("w", 1, 2));
+    let mut decisions = Vec::new();
+    for ticket in 0..5 {
+        decisions.extend(core.on_submit(submit(ticket, 1000), 0));
+    }
+    decisions.extend(core.on_tick(2000));
+    let mut tickets: Vec<u64> = decisions
+        .iter()
+        .filter_map(|action| match action {
+            Action::Grant { ticket, .. } | Action::Refuse { ticket, .. } => Some(*ticket),
+            Action::Ask(_) => None,
+        })
+        .collect();
+    tickets.sort_unstable();
+    assert_eq!(tickets, vec![0, 1, 2, 3, 4]);
+}
+
+#[test]
+fn a_worker_that_is_avoided_for_a_moment_does_not_make_waiting_hopeless() {
+    let mut core = core();
+    core.replicas().on_view(view("w", 1, 100));
+    let pool = PoolKey::Target(target());
+    core.on_submit(submit(0, 30_000), 0);
+    core.on_done(&pool, "w", false, Ended::Whole { took_ms: 72, tokens: 1 }, 72);
+    for ticket in 1..3 {
+        core.on_submit(submit(ticket, 30_000), 100);
+        core.on_done(&pool, "w", false, Ended::Broken, 110);
+    }
+    for ticket in 10..60 {
+        let actions = core.on_submit(submit(ticket, 30_000), 120);
+        assert_eq!(refusal(&actions), None, "ticket {ticket}");
+    }
+    let granted = core.on_tick(1200).iter().filter(|a| matches!(a, Action::Grant { .. })).count();
+    assert_eq!(granted, 50);
+}
+
+#[test]
+fn a_full_queue_is_refused_and_costs_others_nothing() {
+    let mut core = core();
+    let mut codes = Vec::new();
+    for ticket in 0..120 {
+        codes.extend(refusal(&core.on_submit(submit(ticket, 60_000), 0)));
+    }
+    assert_eq!(codes, vec![Code::QueueFull; 20]);
+}
--- a/lovageridge/src/routing.rs
+++ b/lovageridge/src/routing.rs
@@ -15,6 +15,8 @@
 use crate::sorted::Table;
 use crate::wire::WorkerView;
 
+/// Breaks without a whole answer in between after which a worker is avoided.
+const AVOID_AFTER: u32 = 2;
 /// Time for which a worker that broke a connection gets no new work, in ms.
 const AVOID_MS: u64 = 1000;
 
@@ -25,6 +27,8 @@
     others_load: u32,
     own_load: u32,
     own_interactive: u32,
+    /// Requests that broke off since the last whole answer.
+    broken: u32,
     avoid_until_ms: u64,
     listed: bool,
     listed_leaving: bool,
@@ -53,7 +57,11 @@
     }
 
     fn takes_work(&self, now_ms: u64) -> bool {
-        self.listed && !self.listed_leaving && !self.view.leaving && now_ms >= self.avoid_until_ms
+        self.stays() && now_ms >= self.avoid_until_ms
+    }
+
+    fn stays(&self) -> bool {
+        self.listed && !self.listed_leaving && !self.view.leaving
     }
 
     fn holds(&self, target: &Target) -> bool {
@@ -113,6 +121,7 @@
                 others_load: view.load,
                 own_load: 0,
                 own_interactive: 0,
+                broken: 0,
                 avoid_until_ms: 0,
                 listed: true,
                 listed_leaving: false,
@@ -153,10 +162,12 @@
         availability
     }
 
-    /// Returns the sequences that all replicas of `target` batch at once.
-    pub fn slots(&self, target: &Target, now_ms: u64) -> u64 {
-        let holding = self.workers.values().filter(|r| r.takes_work(now_ms) && r.holds(target));
-        holding.map(|r| u64::from(r.view.slots)).sum()
+    /// Returns the part of this instance in the sequences that the replicas of `target` batch.
+    ///
+    /// Replicas that are avoided for a moment count: they take work again before long.
+    pub fn certain_slots(&self, target: &Target) -> u64 {
+        let holding = self.workers.values().filter(|r| r.stays() && r.holds(target));
+        holding.map(|r| u64::from((r.view.slots / self.instances).max(1))).sum()
     }
 
     /// Chooses a replica of `target` with room, near ones first, and counts the request there.
@@ -195,13 +206,14 @@
         Some(Choice { addr: replica.view.addr, upstream: id })
     }
 
-    /// Ends a request at `upstream`; after a broken connection it gets no new work for a while.
+    /// Ends a request at `upstream`; after repeated breaks it gets no new work for a while.
     pub fn on_done(&mut self, upstream: &str, interactive: bool, broken: bool, now_ms: u64) {
         if let Some(replica) = self.workers.get_mut(upstream) {
             replica.own_load = replica.own_load.saturating_sub(1);
             let ended = u32::from(interactive);
             replica.own_interactive = replica.own_interactive.saturating_sub(ended);
-            if broken {
+            replica.broken = if broken { replica.broken + 1 } else { 0 };
+            if replica.broken >= AVOID_AFTER {
                 replica.avoid_until_ms = now_ms + AVOID_MS;
             }
         }
--- a/lovageridge/src/upstream/stream.rs
+++ b/lovageridge/src/upstream/stream.rs
@@ -5,6 +5,7 @@
 use std::io::BufReader;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -105,6 +106,7 @@
     silence_limit: Duration,
     total_limit: Duration,
 ) -> Result<TokenStream, Error> {
+    let begun = Instant::now();
     let text = serde_json::to_string(request).map_err(|e| Error::Broken(e.to_string()))?;
     let answer = outbound::post(format!("http://{addr}/generate"))
         .header("traceparent", traceparent)
@@ -114,7 +116,13 @@
         .text(text)
         .send()
         .map_err(|e| {
-            if is_connect_failure(&e) { Error::NotSent(e) } else { Error::Broken(e.to_string()) }
+            // Nothing else can time out before the silence limit, which is longer.
+            let connecting = is_timeout(&e) && begun.elapsed() < silence_limit;
+            if connecting || is_connect_failure(&e) {
+                Error::NotSent(e)
+            } else {
+                Error::Broken(e.to_string())
+            }
         })?;
     let status_code = answer.status().as_u16();
     let reason = answer.headers().get(REASON_HEADER).and_then(|v| v.to_str().ok());
@@ -134,6 +142,10 @@
     }
 }
 
+fn is_timeout(error: &attohttpc::Error) -> bool {
+    matches!(error.kind(), attohttpc::ErrorKind::Io(e) if e.kind() == io::ErrorKind::TimedOut)
+}
+
 impl TokenStream {
     /// Returns the next event; `None` never stands for the end, which is a `finish_reason`.
     ///
--- a/standins/src/measure.rs
+++ b/standins/src/measure.rs
@@ -169,9 +169,13 @@
     let busy = rss(&world).map_or(0, |u| u.0);
     let mut gaps: Vec<u64> = Vec::new();
     let mut whole = 0;
+    let mut lost: Vec<String> = Vec::new();
     for thread in threads {
         let got = thread.join().unwrap_or_default();
         whole += usize::from(got.whole);
+        if !got.whole {
+            lost.push(format!("{} {}", got.status_code, got.code));
+        }
         gaps.push(got.longest_gap_ms);
     }
     println!("resident memory: idle {idle} KiB, with {open} open streams {busy} KiB");
@@ -180,6 +184,11 @@
         percentile(&mut gaps, 50),
         percentile(&mut gaps, 99)
     );
+    lost.sort_unstable();
+    lost.dedup();
+    if !lost.is_empty() {
+        println!("not whole: {}", lost.join(", "));
+    }
     world.close()
 }
 
