Split the placement core and duty by what they do

Change: plans, calls to workers and the threads' jobs stand in files of their own; no behaviour changes.

--- a/lovageridge/src/placement.rs
+++ b/lovageridge/src/placement.rs
@@ -5,6 +5,7 @@
 pub mod demand;
 pub mod duty;
 pub mod evict;
+mod jobs;
 pub mod keep;
 pub mod ledger;
 pub mod pace;
--- a/lovageridge/src/placement/core.rs
+++ b/lovageridge/src/placement/core.rs
@@ -3,6 +3,9 @@
 //! The lead fences a worker, then reads it, then orders. It has at most one call outstanding to
 //! each worker, so orders reach a worker in the order of their fencing numbers.
 
+mod calls;
+mod plan;
+
 use crate::document::Config;
 use crate::document::Target;
 use crate::leadership::claimant::Held as HeldEpoch;
@@ -13,45 +16,26 @@
 use crate::placement::call::Purpose;
 use crate::placement::call::fence_number;
 use crate::placement::demand::Demand;
-use crate::placement::demand::Wanted;
-use crate::placement::evict;
-use crate::placement::evict::Room;
-use crate::placement::keep::KeepCost;
 use crate::placement::ledger::Reservation;
 use crate::placement::ledger::Stage;
 use crate::placement::ledger::Worker;
 use crate::placement::pace::Pace;
-use crate::placement::pace::StoreLimits;
 use crate::placement::record::LoadDecision;
 use crate::placement::record::Record;
 use crate::platform::list::Listed;
 use crate::sorted::Table;
-use crate::upstream::engine::FencedOrder;
-use crate::upstream::engine::Order;
 use crate::upstream::engine::Phase;
 use crate::wire::ColdAsk;
 use crate::wire::Progress;
 use crate::wire::StoreUse;
 use crate::wire::UseReport;
 
-/// Time between reads of a worker at rest, in ms.
-const POLL_MS: u64 = 1000;
 /// Time between reads of a worker that loads or unloads, in ms.
 const POLL_ACTIVE_MS: u64 = 40;
 /// Consecutive failed calls after which a worker's replicas no longer count.
 const UNREACHABLE_FAILURES: u32 = 3;
-/// Pause after each consecutive failed call, in ms.
-const FAILURE_PAUSE_MS: u64 = 200;
-/// Longest pause after failed calls, in ms.
-const FAILURE_PAUSE_MAX_MS: u64 = 2000;
-/// Time for which a read is the ground of orders, in ms; shorter than the restart of an engine.
-const READ_FRESH_MS: u64 = 500;
 /// Time for which an order may be on its way to a worker, in ms.
 pub const ORDER_LIFE_MS: u64 = 2500;
-/// Time for which a target without room is not planned again, in ms.
-const NO_ROOM_MS: u64 = 300;
-/// Time after a load before another replica of the same model is decided for load, in ms.
-const SCALE_OUT_PAUSE_MS: u64 = 1000;
 
 /// Part of a worker's slots that is reserved for interactive requests at most.
 const RESERVED_PART: u32 = 4;
@@ -451,354 +435,4 @@
         self.call_workers(around, &mut actions);
         actions
     }
-
-    fn plan(&mut self, around: &Surroundings<'_>, actions: &mut Vec<Action>) {
-        for wanted in self.demand.wanted() {
-            if let Some(missing) = self.missing(around, &wanted) {
-                self.plan_load(around, &missing, &wanted, actions);
-            }
-        }
-    }
-
-    /// Returns what has to be loaded next for `wanted`: its model, its adapter, or another replica.
-    fn missing(&mut self, around: &Surroundings<'_>, wanted: &Wanted) -> Option<Target> {
-        let config = around.config;
-        let model = config.models.get(&wanted.target.model)?;
-        if let Some(adapter) = &wanted.target.adapter {
-            config.adapters.get(adapter)?;
-        }
-        if self.no_room.contains(&wanted.target) {
-            return None;
-        }
-        let base = Target { model: wanted.target.model.clone(), adapter: None };
-        let replicas = self.usable().filter(|w| w.counts(&base)).count() as u64;
-        if replicas == 0 {
-            return Some(base);
-        }
-        let has_adapter = self.usable().any(|w| w.counts(&wanted.target));
-        if !has_adapter {
-            let on_resident = self.usable().any(|w| w.is_resident(&base));
-            return on_resident.then(|| wanted.target.clone());
-        }
-        let quiet_ms = model.load_ms + SCALE_OUT_PAUSE_MS;
-        let scaled_ms = self.scaled.get(&wanted.target.model).copied();
-        let ripe = scaled_ms.is_none_or(|at| around.now_ms >= at + quiet_ms);
-        (!wanted.cold && ripe && replicas < model.replicas_max).then_some(base)
-    }
-
-    fn plan_load(
-        &mut self,
-        around: &Surroundings<'_>,
-        target: &Target,
-        wanted: &Wanted,
-        actions: &mut Vec<Action>,
-    ) {
-        let config = around.config;
-        let waiting = u64::from(self.store_use().loads_waiting);
-        if target.adapter.is_none() && waiting >= config.venture.store_slots {
-            return;
-        }
-        let Some((size_mb, count)) = size_of(config, target) else { return };
-        let Some((id, room)) = self.best_room(around, target, size_mb, count) else {
-            self.no_room.insert(wanted.target.clone(), around.now_ms + NO_ROOM_MS);
-            return;
-        };
-        self.sequence += 1;
-        let sequence = self.sequence;
-        self.totals.loads_decided += 1;
-        self.totals.evictions += room.victims.len() as u64;
-        self.scaled.insert(target.model.clone(), around.now_ms);
-        self.unload.extend(room.victims.into_iter().map(|victim| (id.clone(), victim)));
-        actions.push(Action::Append(Record::Load(LoadDecision {
-            epoch: self.held.epoch,
-            sequence,
-            worker: id.clone(),
-            target: target.clone(),
-            size_mb,
-            accelerators: room.accelerators.clone(),
-        })));
-        let stage = if self.checks_fencing { Stage::Logged } else { Stage::Planned };
-        if let Some(worker) = self.workers.get_mut(&id) {
-            worker.reservations.push(Reservation {
-                sequence,
-                target: target.clone(),
-                size_mb,
-                accelerators: room.accelerators,
-                stage,
-                made_ms: around.now_ms,
-                deadline_ms: wanted.deadline_ms,
-            });
-        }
-    }
-
-    /// Returns the worker on which `target` costs least, and the room there.
-    fn best_room(
-        &self,
-        around: &Surroundings<'_>,
-        target: &Target,
-        size_mb: u64,
-        count: usize,
-    ) -> Option<(String, Room)> {
-        let base = Target { model: target.model.clone(), adapter: None };
-        let ready = self.usable().filter(|w| w.ready_epoch == self.held.epoch && w.failures == 0);
-        let rooms = ready.filter(|w| !w.counts(target)).filter_map(|worker| {
-            let room = match &target.adapter {
-                None => evict::find_room(
-                    around.config,
-                    worker,
-                    &self.demand,
-                    size_mb,
-                    count,
-                    around.now_ms,
-                )?,
-                Some(_) => adapter_room(worker, &base, size_mb)?,
-            };
-            let remote = !worker.has_checkpoint(&target.model);
-            let occupied = worker.state.held.len() + worker.reservations.len();
-            Some(((remote, room.cost, occupied), worker.id.clone(), room))
-        });
-        rooms.min_by(|a, b| a.0.cmp(&b.0)).map(|(_, id, room)| (id, room))
-    }
-
-    fn plan_idle_unloads(&mut self, around: &Surroundings<'_>) {
-        let config = around.config;
-        let mut due = Vec::new();
-        for worker in self.workers.values() {
-            for held in worker.state.held.iter().filter(|h| h.phase == Phase::Resident) {
-                let target = Target { model: held.model.clone(), adapter: held.adapter.clone() };
-                let key = (worker.id.clone(), target);
-                if self.is_idle_past_keep(config, worker, &key.1, around.now_ms)
-                    && !self.unload.contains(&key)
-                {
-                    due.push(key);
-                }
-            }
-        }
-        self.totals.idle_unloads += due.len() as u64;
-        self.unload.extend(due);
-    }
-
-    fn is_idle_past_keep(
-        &self,
-        config: &Config,
-        worker: &Worker,
-        target: &Target,
-        now_ms: u64,
-    ) -> bool {
-        if worker.ready_epoch != self.held.epoch || self.demand.is_busy(target) {
-            return false;
-        }
-        if worker.reservations.iter().any(|r| r.target.model == target.model) {
-            return false;
-        }
-        let model = config.models.get(&target.model);
-        let cost = KeepCost {
-            load_ms: model.map_or(0, |m| worker.load_ms(&target.model, m)),
-            accelerators: model.map_or(1, |m| m.accelerators),
-            cold_start_weight_pct: config.venture.cold_start_weight_pct,
-            max_s: config.venture.keep_alive_max_s,
-        };
-        let (own, pooled) = self.demand.idle_times(target);
-        self.demand.idle_ms(target, now_ms) > own.keep_alive_ms(pooled, cost)
-    }
-
-    fn call_workers(&mut self, around: &Surroundings<'_>, actions: &mut Vec<Action>) {
-        let ids: Vec<String> = self.workers.keys().cloned().collect();
-        for id in ids {
-            if let Some((purpose, order)) = self.next_call(around, &id) {
-                self.begin_call(around, &id, purpose, order, actions);
-            }
-        }
-    }
-
-    fn begin_call(
-        &mut self,
-        around: &Surroundings<'_>,
-        id: &str,
-        purpose: Purpose,
-        order: Option<Order>,
-        actions: &mut Vec<Action>,
-    ) {
-        let fresh_until_ms = match purpose {
-            Purpose::Poll | Purpose::Fence => u64::MAX,
-            Purpose::Load { .. } | Purpose::Unload { .. } => self.fresh_until_ms(id),
-        };
-        let not_after_ms = match around.permission {
-            Permission::Until { until_ms } => until_ms.min(fresh_until_ms),
-            Permission::Wait => 0,
-        };
-        let order = order.map(|order| {
-            self.sequence += 1;
-            FencedOrder { fence: fence_number(self.held.epoch, self.sequence), order }
-        });
-        if let Purpose::Unload { target } = &purpose {
-            let unload = (id.to_owned(), target.clone());
-            self.unload.retain(|pending| *pending != unload);
-            actions.push(Action::Append(Record::Unload {
-                epoch: self.held.epoch,
-                worker: id.to_owned(),
-                target: target.clone(),
-            }));
-        }
-        let Some(worker) = self.workers.get_mut(id) else { return };
-        worker.busy_since_ms = Some(around.now_ms);
-        if let Purpose::Load { sequence } = purpose {
-            let mut orders = worker.reservations.iter_mut();
-            if let Some(reservation) = orders.find(|r| r.sequence == sequence) {
-                reservation.stage = Stage::Sent;
-            }
-        }
-        let call = Call { worker: id.to_owned(), addr: worker.addr, purpose, order, not_after_ms };
-        actions.push(Action::Call(call));
-    }
-
-    /// Returns the time until which the last read of the worker `id` may be the ground of an order.
-    ///
-    /// A worker that restarts forgets its fencing number and refuses connections for longer than
-    /// this time, so an order that is written in time meets the process that was read.
-    fn fresh_until_ms(&self, id: &str) -> u64 {
-        let read_ms = self.workers.get(id).and_then(|worker| worker.read_ms);
-        read_ms.map_or(0, |at| at + READ_FRESH_MS)
-    }
-
-    /// Returns the next call to the worker `id`, if one is due.
-    fn next_call(
-        &mut self,
-        around: &Surroundings<'_>,
-        id: &str,
-    ) -> Option<(Purpose, Option<Order>)> {
-        let worker = self.workers.get(id)?;
-        if worker.busy_since_ms.is_some() || self.is_pausing(worker, around.now_ms) {
-            return None;
-        }
-        let may_order = around.permission != Permission::Wait;
-        if worker.ready_epoch != self.held.epoch {
-            let fence = (Purpose::Fence, Some(Order::Fence));
-            return if may_order && !self.fenced_out {
-                Some(fence)
-            } else {
-                self.poll(worker, around)
-            };
-        }
-        let order = if may_order { self.next_order(around, id) } else { None };
-        if order.is_some() && around.now_ms >= self.fresh_until_ms(id) {
-            return Some((Purpose::Poll, None));
-        }
-        match order {
-            Some((purpose, order)) => {
-                self.note_start(id, &purpose);
-                Some((purpose, Some(order)))
-            }
-            None => self.poll(self.workers.get(id)?, around),
-        }
-    }
-
-    fn next_order(&mut self, around: &Surroundings<'_>, id: &str) -> Option<(Purpose, Order)> {
-        self.next_unload(id).or_else(|| self.next_load(around, id))
-    }
-
-    /// Takes the load that `purpose` begins out of the pace, unless it is ordered again or local.
-    fn note_start(&mut self, id: &str, purpose: &Purpose) {
-        let Purpose::Load { sequence } = purpose else { return };
-        let Some(worker) = self.workers.get(id) else { return };
-        let found = worker.reservations.iter().find(|r| r.sequence == *sequence);
-        let from_store = found.is_some_and(|r| {
-            r.stage == Stage::Logged
-                && r.target.adapter.is_none()
-                && !worker.has_checkpoint(&r.target.model)
-        });
-        if from_store {
-            self.pace.on_start();
-        }
-    }
-
-    fn is_pausing(&self, worker: &Worker, now_ms: u64) -> bool {
-        let pause_ms = (u64::from(worker.failures) * FAILURE_PAUSE_MS).min(FAILURE_PAUSE_MAX_MS);
-        worker.failures > 0 && now_ms < worker.failed_ms + pause_ms
-    }
-
-    fn next_unload(&self, id: &str) -> Option<(Purpose, Order)> {
-        let worker = self.workers.get(id)?;
-        let mut pending = self.unload.iter().filter(|(worker_id, _)| worker_id == id);
-        let (_, target) = pending.find(|(_, target)| worker.is_resident(target))?;
-        let order = match &target.adapter {
-            None => Order::Unload { model: target.model.clone() },
-            Some(adapter) => Order::UnloadAdapter { adapter: adapter.clone() },
-        };
-        Some((Purpose::Unload { target: target.clone() }, order))
-    }
-
-    fn next_load(&mut self, around: &Surroundings<'_>, id: &str) -> Option<(Purpose, Order)> {
-        let own = self.store_use();
-        let worker = self.workers.get(id)?;
-        let mut ripe: Vec<&Reservation> = worker
-            .reservations
-            .iter()
-            .filter(|r| matches!(r.stage, Stage::Logged | Stage::Sent) && worker.fits_now(r))
-            .collect();
-        ripe.sort_by_key(|r| r.deadline_ms);
-        let venture = &around.config.venture;
-        let limits =
-            StoreLimits { slots: venture.store_slots, loads_per_s: venture.store_loads_per_s };
-        let adapters: u32 = around.others.iter().map(|u| u.adapters_in_flight).sum();
-        let adapters = u64::from(adapters + own.adapters_in_flight);
-        for reservation in ripe {
-            let again = reservation.stage == Stage::Sent;
-            let is_adapter = reservation.target.adapter.is_some();
-            // A copy of its own takes nothing from the store.
-            let local = !is_adapter && worker.has_checkpoint(&reservation.target.model);
-            let may_start = match (again || local, is_adapter) {
-                (true, _) => true,
-                (false, true) => adapters < venture.store_adapter_slots,
-                (false, false) => self.pace.may_start(limits, own, around.others, around.now_ms),
-            };
-            if !may_start {
-                continue;
-            }
-            let purpose = Purpose::Load { sequence: reservation.sequence };
-            return Some((purpose, load_order(reservation)));
-        }
-        None
-    }
-
-    fn poll(&self, worker: &Worker, around: &Surroundings<'_>) -> Option<(Purpose, Option<Order>)> {
-        let active = !worker.reservations.is_empty()
-            || worker.state.held.iter().any(|h| h.phase != Phase::Resident);
-        let period_ms = if active { POLL_ACTIVE_MS } else { POLL_MS };
-        let due = worker.read_ms.is_none_or(|at| around.now_ms >= at + period_ms);
-        due.then_some((Purpose::Poll, None))
-    }
-}
-
-/// Returns the size of `target` in MB and the number of its accelerators.
-fn size_of(config: &Config, target: &Target) -> Option<(u64, usize)> {
-    let model = config.models.get(&target.model)?;
-    match &target.adapter {
-        None => Some((model.size_mb, model.accelerators as usize)),
-        Some(adapter) => Some((config.adapters.get(adapter)?.size_mb, model.accelerators as usize)),
-    }
-}
-
-/// Returns room for an adapter where its model is resident, on the model's own accelerators.
-fn adapter_room(worker: &Worker, base: &Target, size_mb: u64) -> Option<Room> {
-    let held = worker.held(base).filter(|held| held.phase == Phase::Resident)?;
-    let need_mb = crate::placement::ledger::share_mb(size_mb, held.accelerators.len());
-    let fits = held.accelerators.iter().all(|&a| worker.free_mb(a) >= need_mb);
-    let room = Room { accelerators: held.accelerators.clone(), victims: Vec::new(), cost: 0 };
-    fits.then_some(room)
-}
-
-fn load_order(reservation: &Reservation) -> Order {
-    match &reservation.target.adapter {
-        None => Order::Load {
-            model: reservation.target.model.clone(),
-            size_mb: reservation.size_mb,
-            accelerators: reservation.accelerators.clone(),
-        },
-        Some(adapter) => Order::LoadAdapter {
-            adapter: adapter.clone(),
-            model: reservation.target.model.clone(),
-            size_mb: reservation.size_mb,
-        },
-    }
 }
--- a/standins/src/scenario/load.rs
+++ b/standins/src/scenario/load.rs
@@ -127,7 +127,7 @@
 
 /// Returns what callers got, as a map for scripts.
 pub fn summary(all: &[Got]) -> Map {
-    let count = |keep: &dyn Fn(&Got) -> bool| int(all.iter().filter(|g| keep(g)).count() as u64);
+    let count = |keep: fn(&Got) -> bool| int(all.iter().filter(|g| keep(g)).count() as u64);
     let mut totals: Vec<u64> = all.iter().filter(|g| g.whole).map(|g| g.total_ms).collect();
     let mut firsts: Vec<u64> = all.iter().filter_map(|g| g.first_token_ms).collect();
     let mut codes: Table<String, u64> = Table::new();
@@ -142,10 +142,10 @@
     let codes: Vec<String> = codes.iter().map(|(code, n)| format!("{code}={n}")).collect();
     let mut map = Map::new();
     map.insert("calls".into(), int(all.len() as u64));
-    map.insert("whole".into(), count(&|g| g.whole));
-    map.insert("answered".into(), count(&Got::is_answered));
-    map.insert("not_run".into(), count(&|g| g.ran == "not_run"));
-    map.insert("unknown".into(), count(&|g| g.ran == "unknown"));
+    map.insert("whole".into(), count(|g| g.whole));
+    map.insert("answered".into(), count(Got::is_answered));
+    map.insert("not_run".into(), count(|g| g.ran == "not_run"));
+    map.insert("unknown".into(), count(|g| g.ran == "unknown"));
     map.insert("total_p50_ms".into(), int(percentile(&mut totals, 50)));
     map.insert("total_p99_ms".into(), int(percentile(&mut totals, 99)));
     map.insert("first_p50_ms".into(), int(percentile(&mut firsts, 50)));
