--- a/lovageridge/src/dispatch/core.rs
+++ b/lovageridge/src/dispatch/core.rs
@@ -117,6 +117,8 @@
         ticket: u64,
         /// Where it goes.
         choice: Choice,
+        /// Time that it waited for a target that was cold, in ms.
+        cold_wait_ms: Option<u64>,
     },
     /// The request is refused without having run.
     Refuse {
@@ -139,6 +141,8 @@
     interactive_peak: u32,
     asked_ms: Option<u64>,
     expected_ms: Option<u64>,
+    /// Whether the waiting requests found no replica.
+    cold: bool,
     used: bool,
 }
 
@@ -471,14 +475,16 @@
             pool.interactive += u32::from(waiting.priority == Priority::Interactive);
             pool.interactive_peak = pool.interactive_peak.max(pool.interactive);
             pool.expected_ms = None;
-            granted.push((waiting, choice));
+            let cold_wait_ms = pool.cold.then(|| now_ms.saturating_sub(waiting.arrived_ms));
+            granted.push((waiting, choice, cold_wait_ms));
         }
+        pool.cold &= !pool.queue.is_empty();
         granted
             .into_iter()
-            .map(|(waiting, choice)| {
+            .map(|(waiting, choice, cold_wait_ms)| {
                 self.pool_of.remove(&waiting.ticket);
                 self.count_out(&waiting.partner);
-                Action::Grant { ticket: waiting.ticket, choice }
+                Action::Grant { ticket: waiting.ticket, choice, cold_wait_ms }
             })
             .collect()
     }
@@ -498,6 +504,7 @@
         }
         let Some(home) = self.cells.home(&model.service, target, now_ms) else { return };
         pool.asked_ms = Some(now_ms);
+        pool.cold |= availability == Availability::Cold;
         let earliest_ms = pool.queue.iter().map(|w| w.deadline_ms).min().unwrap_or(now_ms);
         let ask = ColdAsk {
             cell: home.cell.clone(),
--- a/lovageridge/src/dispatch/duty.rs
+++ b/lovageridge/src/dispatch/duty.rs
@@ -217,7 +217,13 @@
     fn perform(&mut self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Grant { ticket, choice } => self.tell(ticket, Ok(choice)),
+                Action::Grant { ticket, choice, cold_wait_ms } => {
+                    if let Some(wait_ms) = cold_wait_ms {
+                        let seconds = wait_ms as f64 / 1000.0;
+                        self.ctx.metrics.cold_wait_seconds.observe(seconds);
+                    }
+                    self.tell(ticket, Ok(choice));
+                }
                 Action::Refuse { ticket, refusal } => self.tell(ticket, Err(refusal)),
                 Action::Ask(ask) => self.ask(ask),
             }
--- a/lovageridge/src/placement/duty.rs
+++ b/lovageridge/src/placement/duty.rs
@@ -516,6 +516,10 @@
             }
             Action::Append(record) => {
                 let mut logged = None;
+                if let record::Record::Unload { worker, target, .. } = &record {
+                    let detail = format!("cell={cell} worker={worker} {target:?}");
+                    info!("{}", events::UNLOAD_ORDERED.text(id, &detail));
+                }
                 if let record::Record::Load(load) = &record {
                     let detail = format!("cell={cell} worker={} {:?}", load.worker, load.target);
                     info!("{}", events::LOAD_DECIDED.text(id, &detail));
