Export spans over OTLP from a thread of its own

A collector stand-in. The span of each request keeps the caller's span as its parent. Figures: integration test: the hops entry, queue and attempt of one trace arrive; with the collector refusing, callers are served, spans are counted as dropped, and exports go on afterwards. Conclusion: done; a span for a forward is not needed, since entries call workers directly.

--- a/lovageridge/src/instance.rs
+++ b/lovageridge/src/instance.rs
@@ -25,6 +25,7 @@
 use crate::placement;
 use crate::settings::Settings;
 use crate::telemetry::events;
+use crate::telemetry::export;
 use crate::telemetry::metrics::Metrics;
 use crate::telemetry::trace::Tracer;
 
@@ -88,7 +89,12 @@
             suspect_ms: settings.timing.suspect_ms,
         });
         let metrics = Metrics::new()?;
-        let tracer = Tracer::local(metrics.spans_dropped_total.clone());
+        let traces_addr = settings.traces_addr;
+        let dropped = metrics.spans_dropped_total.clone();
+        let (tracer, spans) = match traces_addr {
+            Some(_) => Tracer::exporting(dropped),
+            None => Tracer::local(dropped),
+        };
         let (dispatch_ring, dispatch_events) = flume::bounded(dispatch::duty::RING_EVENTS);
         let (lead_ring, lead_events) = flume::bounded(placement::duty::RING_EVENTS);
         let ctx = Arc::new(Context::new(
@@ -117,6 +123,9 @@
         instance.spawn("claim-appends", move |port| {
             claims::duty::run_appends(&port.ctx, &claim_records);
         })?;
+        if let (Some(addr), Some(spans)) = (traces_addr, spans) {
+            instance.spawn("spans", move |port| export::run(&port.ctx, addr, &spans))?;
+        }
         let callers = Arc::new(callers);
         for _ in 0..server::ACCEPT_THREADS {
             let callers = Arc::clone(&callers);
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -54,6 +54,8 @@
     LIST_REACHABLE = 202 "list_reachable";
     /// The peers port is not usable.
     PEERS_PORT = 203 "peers_port";
+    /// The trace collector does not answer.
+    TRACES_UNREACHABLE = 204 "traces_unreachable";
     /// A claim of a cell was appended.
     CELL_CLAIMED = 300 "cell_claimed";
     /// The instance leads a cell.
--- /dev/null
+++ b/lovageridge/src/telemetry/export.rs
@@ -0,0 +1,183 @@
+//! Exports finished spans over OTLP (JSON over HTTP) from a thread of its own, without an async runtime.
+//!
+//! The ring in front of this thread is bounded and a batch that the collector does not take is
+//! dropped and counted, so a collector that is away costs neither memory nor a request's time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+
+use flume::Receiver;
+use flume::RecvTimeoutError;
+use log::warn;
+use opentelemetry::InstrumentationScope;
+use opentelemetry::KeyValue;
+use opentelemetry::trace::SpanContext as OtelContext;
+use opentelemetry::trace::SpanId;
+use opentelemetry::trace::SpanKind;
+use opentelemetry::trace::Status;
+use opentelemetry::trace::TraceFlags;
+use opentelemetry::trace::TraceId;
+use opentelemetry::trace::TraceState;
+use opentelemetry_http::Bytes;
+use opentelemetry_http::HttpClient;
+use opentelemetry_http::HttpError;
+use opentelemetry_http::Request;
+use opentelemetry_http::Response;
+use opentelemetry_otlp::Protocol;
+use opentelemetry_otlp::SpanExporter;
+use opentelemetry_otlp::WithExportConfig;
+use opentelemetry_otlp::WithHttpConfig;
+use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::trace::SpanData;
+use opentelemetry_sdk::trace::SpanEvents;
+use opentelemetry_sdk::trace::SpanExporter as _;
+use opentelemetry_sdk::trace::SpanLinks;
+
+use crate::context::Context;
+use crate::outbound;
+use crate::telemetry::events;
+use crate::telemetry::trace::Finished;
+
+/// Most spans in one call to the collector.
+const BATCH_MAX: usize = 512;
+/// Time for which a call waits for further spans.
+const BATCH_WINDOW: Duration = Duration::from_millis(500);
+/// Time allowed for a connection to the collector.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time allowed for a whole call to the collector.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2000);
+/// Pause after a failed call, in ms.
+const RETRY_MS: u64 = 1000;
+/// Path of the collector that takes spans.
+const TRACES_PATH: &str = "/v1/traces";
+
+/// HTTP client of the exporter, over the library that all other calls use.
+#[derive(Clone, Copy, Debug)]
+struct Client;
+
+#[async_trait::async_trait]
+impl HttpClient for Client {
+    async fn send_bytes(&self, request: Request<Bytes>) -> Result<Response<Bytes>, HttpError> {
+        let mut call = outbound::post(request.uri().to_string())
+            .connect_timeout(CONNECT_TIMEOUT)
+            .read_timeout(CALL_TIMEOUT)
+            .timeout(CALL_TIMEOUT);
+        for (name, value) in request.headers() {
+            call = call.try_header(name.clone(), value.clone())?;
+        }
+        let answer = call.bytes(request.into_body()).send()?;
+        let status = answer.status().as_u16();
+        let body = answer.bytes()?;
+        Ok(Response::builder().status(status).body(Bytes::from(body))?)
+    }
+}
+
+/// Exports the spans of `ring` to the collector at `addr` until the instance stops.
+pub fn run(ctx: &Context, addr: SocketAddr, ring: &Receiver<Finished>) {
+    let exporter = match exporter(ctx, addr) {
+        Ok(exporter) => exporter,
+        Err(error) => {
+            let detail = format!("collector={addr} {error}");
+            warn!("{}", events::TRACES_UNREACHABLE.text(&ctx.own.instance_id, &detail));
+            return;
+        }
+    };
+    let mut reachable = true;
+    while !ctx.is_stopped() || !ring.is_empty() {
+        let batch = collect(ring);
+        if batch.is_empty() {
+            continue;
+        }
+        let count = batch.len() as u64;
+        let spans = batch.into_iter().map(span_data).collect();
+        match futures_executor::block_on(exporter.export(spans)) {
+            Ok(()) => {
+                reachable = true;
+                ctx.metrics.spans_exported_total.inc_by(count);
+            }
+            Err(error) => {
+                ctx.metrics.spans_dropped_total.inc_by(count);
+                if reachable {
+                    let detail = format!("collector={addr} {error}");
+                    warn!("{}", events::TRACES_UNREACHABLE.text(&ctx.own.instance_id, &detail));
+                }
+                reachable = false;
+                if ctx.is_stopped() {
+                    return;
+                }
+                ctx.pause_ms(RETRY_MS);
+            }
+        }
+    }
+}
+
+fn exporter(
+    ctx: &Context,
+    addr: SocketAddr,
+) -> Result<SpanExporter, opentelemetry_otlp::ExporterBuildError> {
+    let mut exporter = SpanExporter::builder()
+        .with_http()
+        .with_protocol(Protocol::HttpJson)
+        .with_http_client(Client)
+        .with_endpoint(format!("http://{addr}{TRACES_PATH}"))
+        .with_timeout(CALL_TIMEOUT)
+        .build()?;
+    let resource = Resource::builder_empty()
+        .with_service_name("lovageridge")
+        .with_attributes([
+            KeyValue::new("service.instance.id", ctx.own.instance_id.clone()),
+            KeyValue::new("lovageridge.failure_domain", ctx.own.domain.clone()),
+        ])
+        .build();
+    exporter.set_resource(&resource);
+    Ok(exporter)
+}
+
+/// Waits for a first span and takes those that follow within the batch window.
+fn collect(ring: &Receiver<Finished>) -> Vec<Finished> {
+    let mut batch = Vec::new();
+    match ring.recv_timeout(BATCH_WINDOW) {
+        Ok(span) => batch.push(span),
+        Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => return batch,
+    }
+    let until = Instant::now() + BATCH_WINDOW;
+    while batch.len() < BATCH_MAX {
+        match ring.recv_deadline(until) {
+            Ok(span) => batch.push(span),
+            Err(_) => break,
+        }
+    }
+    batch
+}
+
+fn span_data(span: Finished) -> SpanData {
+    let context = OtelContext::new(
+        TraceId::from(span.context.trace_id),
+        SpanId::from(span.context.span_id),
+        TraceFlags::SAMPLED,
+        false,
+        TraceState::default(),
+    );
+    let attributes = span.attributes.into_iter().map(|(key, value)| KeyValue::new(key, value));
+    SpanData {
+        span_context: context,
+        parent_span_id: SpanId::from(span.parent_id),
+        parent_span_is_remote: false,
+        span_kind: SpanKind::Internal,
+        name: span.name.into(),
+        start_time: time_of(span.start_unix_ms),
+        end_time: time_of(span.end_unix_ms),
+        attributes: attributes.collect(),
+        dropped_attributes_count: 0,
+        events: SpanEvents::default(),
+        links: SpanLinks::default(),
+        status: Status::Unset,
+        instrumentation_scope: InstrumentationScope::builder("lovageridge").build(),
+    }
+}
+
+fn time_of(unix_ms: u64) -> SystemTime {
+    SystemTime::UNIX_EPOCH + Duration::from_millis(unix_ms)
+}
--- a/lovageridge/src/telemetry/metrics.rs
+++ b/lovageridge/src/telemetry/metrics.rs
@@ -91,6 +91,8 @@
     ring_fill: IntGaugeVec = "Events in rings" ["ring"];
     /// Appends to the log by stream and result.
     log_appends_total: IntCounterVec = "Appends to the log" ["stream", "result"];
+    /// Spans that the collector has taken.
+    spans_exported_total: IntCounter = "Spans exported";
     /// Spans dropped because the collector is away.
     spans_dropped_total: IntCounter = "Spans dropped";
     /// Administration calls by result.
--- a/lovageridge/src/telemetry/trace.rs
+++ b/lovageridge/src/telemetry/trace.rs
@@ -125,14 +125,14 @@
 
 impl Tracer {
     /// Returns a tracer without an exporter.
-    pub fn local(dropped: prometheus::IntCounter) -> Self {
-        Self { ring: None, recent: Mutex::default(), dropped }
+    pub fn local(dropped: prometheus::IntCounter) -> (Self, Option<Receiver<Finished>>) {
+        (Self { ring: None, recent: Mutex::default(), dropped }, None)
     }
 
     /// Returns a tracer and the ring that its exporter reads.
-    pub fn exporting(dropped: prometheus::IntCounter) -> (Self, Receiver<Finished>) {
+    pub fn exporting(dropped: prometheus::IntCounter) -> (Self, Option<Receiver<Finished>>) {
         let (sender, receiver) = flume::bounded(RING_SPANS);
-        (Self { ring: Some(sender), recent: Mutex::default(), dropped }, receiver)
+        (Self { ring: Some(sender), recent: Mutex::default(), dropped }, Some(receiver))
     }
 
     fn finish(&self, span: Finished) {
--- a/lovageridge/tests/integration.rs
+++ b/lovageridge/tests/integration.rs
@@ -113,6 +113,68 @@
     world.close().expect("the entry ends well");
 }
 
+/// Spans of one request reach the collector as one trace with a span for each hop; a collector that
+/// is away costs no caller anything.
+#[test]
+fn spans_are_exported_and_dropped_when_the_collector_is_away() {
+    let shape = Shape {
+        entries: 1,
+        workers: 1,
+        domains: vec!["a".into()],
+        traces: true,
+        ..Shape::default()
+    };
+    let world = World::start(binary(), shape, "linger_ms = 100").expect("a venture");
+    let traced = |digit: &str| {
+        let answer = lovageridge::outbound::post(format!(
+            "http://{}/v1/completions",
+            world.entries[0].addrs.callers
+        ))
+        .header("authorization", format!("Bearer {}", standins::venture::GROWERS_KEY))
+        .header("traceparent", format!("00-{}-00000000000000aa-01", digit.repeat(32)))
+        .text(r#"{"model":"model-00","prompt":"x","max_tokens":3}"#)
+        .send()
+        .expect("an answer");
+        assert_eq!(answer.status().as_u16(), 200);
+    };
+    let spans_of = |digit: &str| {
+        let trace_id = digit.repeat(32);
+        let spans = world.collector.spans().into_iter();
+        spans.filter(|span| span.trace_id == trace_id).collect::<Vec<_>>()
+    };
+    let timeout = std::time::Duration::from_secs(10);
+    let metric = |name: &str| {
+        let (_, text) = world.admin(0, "/metrics").expect("metrics");
+        let row = text.lines().find(|l| l.starts_with(&format!("lovageridge_{name} ")));
+        row.and_then(|l| l.split(' ').nth(1)?.parse::<u64>().ok()).expect("a number")
+    };
+
+    traced("1");
+    let hops = ["entry", "queue", "attempt"];
+    let whole = world.wait_until(timeout, |_| {
+        let spans = spans_of("1");
+        hops.iter().all(|hop| spans.iter().any(|s| s.name == *hop))
+    });
+    let spans = spans_of("1");
+    assert!(whole, "{spans:?}");
+    let root = spans.iter().find(|s| s.name == "entry").expect("the span of the request");
+    assert_eq!(root.parent_id, "00000000000000aa", "the caller's span is the parent");
+    for hop in ["queue", "attempt"] {
+        let span = spans.iter().find(|s| s.name == hop).expect("a span");
+        assert_eq!(span.parent_id, root.span_id, "{spans:?}");
+    }
+    assert!(spans.iter().all(|s| s.instance_id == "entry-0"), "{spans:?}");
+
+    world.collector.set_refuse(true);
+    traced("2");
+    assert!(world.wait_until(timeout, |_| metric("spans_dropped_total") > 0));
+    world.collector.set_refuse(false);
+    traced("3");
+    assert!(world.wait_until(timeout, |_| !spans_of("3").is_empty()), "exports go on");
+    assert!(spans_of("2").is_empty(), "what was refused is dropped");
+    world.close().expect("the entry ends well");
+}
+
 #[test]
 fn the_event_catalogue_names_every_event() {
     let file = format!("{}/../docs/EVENTS.md", env!("CARGO_MANIFEST_DIR"));
--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -163,6 +163,7 @@
             advertised_peers: peers,
             log: self.log.addr(),
             list: self.list.addr(),
+            traces: None,
         };
         let id = format!("entry-{at}");
         let domain = DOMAINS[at % DOMAINS.len()];
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod booking;
 pub mod client;
+pub mod collector;
 pub mod demo;
 pub mod engine;
 pub mod http;
--- a/standins/src/scenario/verbs.rs
+++ b/standins/src/scenario/verbs.rs
@@ -113,6 +113,7 @@
         cold_weight_pct: number(options, "cold_weight_pct", base.cold_weight_pct),
         boards_limit: number(options, "boards_limit", base.boards_limit),
         retention_s: number(options, "retention_s", base.retention_s),
+        traces: flag(options, "traces", base.traces),
     }
 }
 
--- a/standins/src/venture.rs
+++ b/standins/src/venture.rs
@@ -59,6 +59,8 @@
     pub boards_limit: u64,
     /// Retention of the log, in s.
     pub retention_s: u64,
+    /// Whether entries export their spans.
+    pub traces: bool,
 }
 
 impl Default for Shape {
@@ -85,6 +87,7 @@
             cold_weight_pct: 70,
             boards_limit: 0,
             retention_s: 3600,
+            traces: false,
         }
     }
 }
@@ -166,14 +169,17 @@
     pub log: SocketAddr,
     /// The list as this instance reaches it.
     pub list: SocketAddr,
+    /// The trace collector, if spans are exported.
+    pub traces: Option<SocketAddr>,
 }
 
 /// Returns the settings of an entry instance.
 pub fn settings(id: &str, domain: &str, region: &str, addrs: &EntryAddrs, timing: &str) -> String {
+    let traces = addrs.traces.map(|addr| format!("traces = {addr}\n")).unwrap_or_default();
     format!(
         "[instance]\nid = {id}\ndomain = {domain}\nregion = {region}\n\n\
          [listen]\ncallers = {}\nadmin = {}\npeers = {}\nadvertised_peers = {}\n\n\
-         [platform]\nlog = {}\nlist = {}\n\n[timing]\n{timing}\n",
+         [platform]\nlog = {}\nlist = {}\n{traces}\n[timing]\n{timing}\n",
         addrs.callers, addrs.admin, addrs.peers, addrs.advertised_peers, addrs.log, addrs.list
     )
 }
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -17,6 +17,7 @@
 use serde_json::Value;
 
 use crate::booking::Booking;
+use crate::collector::Collector;
 use crate::engine::Engine;
 use crate::engine::EngineOptions;
 use crate::list::List;
@@ -89,6 +90,8 @@
     pub log: Log,
     /// The list.
     pub list: List,
+    /// The trace collector.
+    pub collector: Collector,
     /// The weight store.
     pub store: Arc<Store>,
     /// Engine workers.
@@ -116,6 +119,7 @@
             shape,
             log,
             list,
+            collector: Collector::start()?,
             store,
             workers: Vec::new(),
             bookings: Vec::new(),
@@ -178,6 +182,7 @@
             advertised_peers: peer_relay.addr(),
             log: log_relay.addr(),
             list: list_relay.addr(),
+            traces: self.shape.traces.then(|| self.collector.addr()),
         };
         let text = settings(&id, &domain, "om-north", &addrs, timing);
         let settings_file = self.workspace.write(&format!("{id}.ini"), &text)?;
