Keep loads from starving on memory that was promised twice or never freed

Cause: the interleavings checked only that nothing bad happens. Change: an unload stays pending until it is seen or refused; room is a signed balance, and replicas to unload are no candidates; a decision blocked for 5 s is withdrawn and settled in the log; the fold keeps what is settled. Conclusion: promises of progress need checks of their own.

--- a/lovageridge/src/placement.rs
+++ b/lovageridge/src/placement.rs
@@ -11,3 +11,5 @@
 pub mod pace;
 pub mod publish;
 pub mod record;
+#[cfg(test)]
+mod tests;
--- a/lovageridge/src/placement/core.rs
+++ b/lovageridge/src/placement/core.rs
@@ -290,6 +290,12 @@
                 worker.failed_ms = now_ms;
             }
         }
+        if let Purpose::Unload { target } = purpose
+            && matches!(failure, Failure::Fenced | Failure::Refused)
+        {
+            // Without an answer the unload stays pending and is ordered again.
+            self.unload.retain(|(worker_id, pending)| worker_id != id || pending != target);
+        }
         let Purpose::Load { sequence } = *purpose else { return Vec::new() };
         match failure {
             // The order may be on its way or done: the reservation stays and is ordered again.
@@ -425,9 +431,9 @@
     pub fn tick(&mut self, around: &Surroundings<'_>) -> Vec<Action> {
         self.demand.expire(around.now_ms);
         self.no_room.retain(|_, until_ms| *until_ms > around.now_ms);
-        let workers = &self.workers;
-        self.unload.retain(|(id, target)| workers.get(id).is_some_and(|w| w.is_resident(target)));
+        self.drop_needless_unloads();
         let mut actions = Vec::new();
+        self.withdraw_blocked(around.now_ms, &mut actions);
         if around.permission != Permission::Wait {
             self.plan(around, &mut actions);
             self.plan_idle_unloads(around);
@@ -435,4 +441,15 @@
         self.call_workers(around, &mut actions);
         actions
     }
+
+    /// Drops unloads that have been carried out, and those of replicas that are in use again while
+    /// no load waits for their memory.
+    fn drop_needless_unloads(&mut self) {
+        let (workers, demand) = (&self.workers, &self.demand);
+        self.unload.retain(|(id, target)| {
+            let Some(worker) = workers.get(id) else { return false };
+            let awaited = !worker.reservations.is_empty();
+            worker.is_resident(target) && (awaited || !demand.is_busy(target))
+        });
+    }
 }
--- a/lovageridge/src/placement/core/calls.rs
+++ b/lovageridge/src/placement/core/calls.rs
@@ -57,8 +57,6 @@
             FencedOrder { fence: fence_number(self.held.epoch, self.sequence), order }
         });
         if let Purpose::Unload { target } = &purpose {
-            let unload = (id.to_owned(), target.clone());
-            self.unload.retain(|pending| *pending != unload);
             actions.push(Action::Append(Record::Unload {
                 epoch: self.held.epoch,
                 worker: id.to_owned(),
--- a/lovageridge/src/placement/core/plan.rs
+++ b/lovageridge/src/placement/core/plan.rs
@@ -19,6 +19,8 @@
 
 /// Time for which a target without room is not planned again, in ms.
 const NO_ROOM_MS: u64 = 300;
+/// Time for which a decision waits for memory that does not become free, in ms.
+const BLOCKED_MAX_MS: u64 = 5000;
 /// Time after a load before another replica of the same model is decided for load, in ms.
 const SCALE_OUT_PAUSE_MS: u64 = 1000;
 
@@ -114,14 +116,19 @@
         let ready = self.usable().filter(|w| w.ready_epoch == self.held.epoch && w.failures == 0);
         let rooms = ready.filter(|w| !w.counts(target)).filter_map(|worker| {
             let room = match &target.adapter {
-                None => evict::find_room(
-                    around.config,
-                    worker,
-                    &self.demand,
-                    size_mb,
-                    count,
-                    around.now_ms,
-                )?,
+                None => {
+                    let leaving = self.leaving(&worker.id);
+                    let (config, demand) = (around.config, &self.demand);
+                    evict::find_room(
+                        config,
+                        worker,
+                        demand,
+                        &leaving,
+                        size_mb,
+                        count,
+                        around.now_ms,
+                    )?
+                }
                 Some(_) => adapter_room(worker, &base, size_mb)?,
             };
             let remote = !worker.has_checkpoint(&target.model);
@@ -131,6 +138,32 @@
         rooms.min_by(|a, b| a.0.cmp(&b.0)).map(|(_, id, room)| (id, room))
     }
 
+    /// Returns the replicas of the worker `id` that are to be unloaded.
+    fn leaving(&self, id: &str) -> Vec<Target> {
+        let pending = self.unload.iter().filter(|(worker_id, _)| worker_id == id);
+        pending.map(|(_, target)| target.clone()).collect()
+    }
+
+    /// Withdraws decisions that were not ordered and whose memory does not become free.
+    ///
+    /// Their replicas to unload may be in use again; the callers that still wait are planned anew.
+    pub(super) fn withdraw_blocked(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        let epoch = self.held.epoch;
+        for (_, worker) in self.workers.iter_mut() {
+            let is_blocked = |r: &Reservation| {
+                matches!(r.stage, Stage::Planned | Stage::Logged)
+                    && now_ms >= r.made_ms + BLOCKED_MAX_MS
+                    && !worker.is_unloading()
+                    && !worker.fits_now(r)
+            };
+            let blocked: Vec<u64> =
+                worker.reservations.iter().filter(|r| is_blocked(r)).map(|r| r.sequence).collect();
+            worker.reservations.retain(|r| !blocked.contains(&r.sequence));
+            let settled = blocked.into_iter().map(|sequence| Record::Settled { epoch, sequence });
+            actions.extend(settled.map(Action::Append));
+        }
+    }
+
     pub(super) fn plan_idle_unloads(&mut self, around: &Surroundings<'_>) {
         let config = around.config;
         let mut due = Vec::new();
--- a/lovageridge/src/placement/evict.rs
+++ b/lovageridge/src/placement/evict.rs
@@ -34,29 +34,34 @@
 /// Returns room for `size_mb` on `count` accelerators of `worker`, or `None`.
 ///
 /// Victims are taken in ascending order of retention value until the load fits; none of them has
-/// requests in progress or callers waiting.
+/// requests in progress or callers waiting. Memory of the replicas in `leaving`, which are to be
+/// unloaded already, counts as free for the reservations it was promised to, and for no other.
 pub fn find_room(
     config: &Config,
     worker: &Worker,
     demand: &Demand,
+    leaving: &[Target],
     size_mb: u64,
     count: usize,
     now_ms: u64,
 ) -> Option<Room> {
-    let need_mb = share_mb(size_mb, count);
-    let mut free_mb: Vec<u64> =
-        (0..worker.state.accelerators_mb.len()).map(|at| worker.free_mb(at as u32)).collect();
+    let need_mb = share_mb(size_mb, count) as i64;
+    let accelerators = 0..worker.state.accelerators_mb.len() as u32;
+    let balance_mb: Vec<i64> = accelerators.map(|a| worker.balance_mb(a, leaving)).collect();
+    let mut free_mb = balance_mb.clone();
     let mut room = Room { accelerators: Vec::new(), victims: Vec::new(), cost: 0 };
-    let mut candidates = candidates(config, worker, demand, now_ms).into_iter();
+    let mut candidates = candidates(config, worker, demand, now_ms);
+    candidates.retain(|candidate| !leaving.contains(&candidate.target));
+    let mut candidates = candidates.into_iter();
     loop {
         if let Some(accelerators) = fitting(&free_mb, need_mb, count) {
             room.accelerators = accelerators;
-            return Some(drop_needless(room, worker, need_mb));
+            return Some(drop_needless(room, worker, &balance_mb, need_mb));
         }
         let candidate = candidates.next()?;
         for &accelerator in &candidate.accelerators {
             if let Some(free) = free_mb.get_mut(accelerator as usize) {
-                *free += candidate.share_mb;
+                *free += candidate.share_mb as i64;
             }
         }
         room.cost += candidate.value;
@@ -65,8 +70,8 @@
 }
 
 /// Returns the `count` accelerators that fit `need_mb` most tightly.
-fn fitting(free_mb: &[u64], need_mb: u64, count: usize) -> Option<Vec<u32>> {
-    let mut fit: Vec<(u64, u32)> = free_mb
+fn fitting(free_mb: &[i64], need_mb: i64, count: usize) -> Option<Vec<u32>> {
+    let mut fit: Vec<(i64, u32)> = free_mb
         .iter()
         .enumerate()
         .filter(|(_, free)| **free >= need_mb)
@@ -80,9 +85,9 @@
 }
 
 /// Leaves out victims that take no memory on the chosen accelerators.
-fn drop_needless(mut room: Room, worker: &Worker, need_mb: u64) -> Room {
-    let roomy = |room: &Room| room.accelerators.iter().all(|&a| worker.free_mb(a) >= need_mb);
-    if roomy(&room) {
+fn drop_needless(mut room: Room, worker: &Worker, balance_mb: &[i64], need_mb: i64) -> Room {
+    let is_roomy = |accelerator: &u32| balance_mb[*accelerator as usize] >= need_mb;
+    if room.accelerators.iter().all(is_roomy) {
         room.victims.clear();
         room.cost = 0;
         return room;
--- a/lovageridge/src/placement/ledger.rs
+++ b/lovageridge/src/placement/ledger.rs
@@ -150,6 +150,22 @@
         total_mb.saturating_sub(self.held_mb(accelerator) + self.reserved_mb(accelerator, |_| true))
     }
 
+    /// Returns the memory of `accelerator` that is neither held nor reserved once the replicas in
+    /// `leaving` are unloaded, in MB; negative when reservations rest on further unloads.
+    pub fn balance_mb(&self, accelerator: u32, leaving: &[Target]) -> i64 {
+        let total_mb = self.state.accelerators_mb.get(accelerator as usize).copied().unwrap_or(0);
+        let stays = |held: &&Held| !leaving.iter().any(|target| is_target(held, target));
+        let on_it = |held: &&Held| held.accelerators.contains(&accelerator);
+        let share = |held: &Held| share_mb(held.size_mb, held.accelerators.len());
+        let held_mb: u64 = self.state.held.iter().filter(stays).filter(on_it).map(share).sum();
+        total_mb as i64 - held_mb as i64 - self.reserved_mb(accelerator, |_| true) as i64
+    }
+
+    /// Tells whether some replica is on its way out.
+    pub fn is_unloading(&self) -> bool {
+        self.state.held.iter().any(|held| held.phase == Phase::Unloading)
+    }
+
     /// Tells whether `reservation` fits into memory that is free by now.
     ///
     /// Held weights, sent orders and inherited decisions all count; plans of others do not.
--- a/lovageridge/src/placement/record.rs
+++ b/lovageridge/src/placement/record.rs
@@ -52,15 +52,23 @@
 }
 
 /// Returns the decisions among `records` that are not settled.
+///
+/// An append whose answer was lost is repeated, so a decision may stand in the log once more after
+/// it was settled; that does not make it undone again.
 pub fn undone(records: impl IntoIterator<Item = Record>) -> Vec<LoadDecision> {
     let mut open: Table<(u64, u64), LoadDecision> = Table::new();
+    let mut settled: Table<(u64, u64), ()> = Table::new();
     for record in records {
         match record {
             Record::Load(load) => {
-                open.insert((load.epoch, load.sequence), load);
+                let key = (load.epoch, load.sequence);
+                if !settled.contains(&key) {
+                    open.insert(key, load);
+                }
             }
             Record::Settled { epoch, sequence } => {
                 open.remove(&(epoch, sequence));
+                settled.insert((epoch, sequence), ());
             }
             Record::Unload { .. } => {}
         }
--- a/lovageridge/tests/interleavings.rs
+++ b/lovageridge/tests/interleavings.rs
@@ -28,6 +28,7 @@
         let what = format!("seed {seed}, fencing {checks_fencing}: {outcome:?}");
         assert_eq!(outcome.overcommits, 0, "{what}");
         assert!(outcome.undecided_loads.is_empty(), "{what}");
+        assert!(outcome.late_decisions > 0, "no decisions after the faults: {what}");
         decided += outcome.decisions;
         takeovers += outcome.takeovers;
     }
--- a/lovageridge/tests/interleavings/sim.rs
+++ b/lovageridge/tests/interleavings/sim.rs
@@ -35,9 +35,20 @@
 const INSTANCES: usize = 3;
 const WORKERS: usize = 2;
 const MODELS: u64 = 10;
-const MODEL_MB: u64 = 30;
+/// Sizes of the models in MB: several or one of them fit on an accelerator.
+const MODEL_MB: [u64; 2] = [30, 60];
+/// One message in this many is late; after the faults the first number holds.
+const LATE_ONE_IN: [u32; 2] = [12, 3];
 const ACCELERATOR_MB: u64 = 100;
-const RUN_MS: u64 = 40_000;
+const RUN_MS: u64 = 48_000;
+/// Time from which no new fault comes, in ms.
+const FAULTS_END_MS: u64 = 28_000;
+/// Time from which loads must be decided again, in ms: the longest fault, pause and takeover are over.
+///
+/// From then on callers ask for one model after the other, so that there is room for each.
+const RECOVERED_MS: u64 = 37_000;
+/// Time for which callers ask for one model then, in ms.
+const TURN_MS: u64 = 2500;
 const TICK_MS: u64 = 20;
 const READ_PERIOD_MS: u64 = 200;
 const LOAD_MS: u64 = 900;
@@ -57,6 +68,8 @@
     pub undecided_loads: Vec<String>,
     /// Decisions.
     pub decisions: u64,
+    /// Decisions after the faults had ended.
+    pub late_decisions: u64,
     /// Epochs that were gained.
     pub takeovers: u64,
 }
@@ -89,6 +102,7 @@
 
 struct Sim {
     rng: SmallRng,
+    late_one_in: u32,
     checks_fencing: bool,
     now_ms: u64,
     queue: Vec<(u64, u64, Event)>,
@@ -130,7 +144,7 @@
     SocketAddr::from(([127, 0, 0, 1], 1))
 }
 
-fn config(checks_fencing: bool) -> Config {
+fn config(checks_fencing: bool, model_mb: u64) -> Config {
     let checks = if checks_fencing { "yes" } else { "no" };
     let mut text = format!(
         "[venture]\nstore_loads_per_s = 50\nstore_slots = 8\nkeep_alive_max_s = 4\n\
@@ -138,7 +152,7 @@
     );
     for at in 0..MODELS {
         text += &format!(
-            "[model.m{at}]\nservice = lm-pool\nsize_mb = {MODEL_MB}\nload_ms = {LOAD_MS}\nreplicas_max = 1\n"
+            "[model.m{at}]\nservice = lm-pool\nsize_mb = {model_mb}\nload_ms = {LOAD_MS}\nreplicas_max = 1\n"
         );
     }
     let sections = parse::split(&text).expect("the text is a document");
@@ -162,8 +176,12 @@
             paused_until_ms: 0,
             beat_ms: 0,
         });
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let model_mb = MODEL_MB[rng.random_range(0..MODEL_MB.len())];
+        let late_one_in = LATE_ONE_IN[rng.random_range(0..LATE_ONE_IN.len())];
         Self {
-            rng: SmallRng::seed_from_u64(seed),
+            rng,
+            late_one_in,
             checks_fencing,
             now_ms: 0,
             queue: Vec::new(),
@@ -174,7 +192,7 @@
             workers: (0..WORKERS).map(|_| Memory::new(&[ACCELERATOR_MB], 0)).collect(),
             worker_down_until_ms: [0; WORKERS],
             instances: instances.collect(),
-            config: config(checks_fencing),
+            config: config(checks_fencing, model_mb),
             decided: Table::new(),
             outcome: Outcome::default(),
         }
@@ -193,7 +211,9 @@
 
     /// Returns a delay that is short most of the time and long now and then.
     fn delay(&mut self) -> u64 {
-        if self.rng.random_range(0..12) == 0 {
+        let faults = self.now_ms < FAULTS_END_MS;
+        let late_one_in = if faults { self.late_one_in } else { LATE_ONE_IN[0] };
+        if self.rng.random_range(0..late_one_in) == 0 {
             self.rng.random_range(100..CALL_TIMEOUT_MS)
         } else {
             self.rng.random_range(1..20)
@@ -265,24 +285,41 @@
 
     /// Pauses an instance now and then between a decision and what follows from it.
     fn pause_at_times(&mut self, instance: usize) {
-        if self.rng.random_range(0..25) == 0 {
+        if self.now_ms < FAULTS_END_MS && self.rng.random_range(0..25) == 0 {
             let pause_ms = self.rng.random_range(LEASE_MS / 2..LEASE_MS * 4);
             self.instances[instance].paused_until_ms = self.now_ms + pause_ms;
         }
     }
 
+    /// Returns an instance, a lead in half of the cases: its faults are the most telling ones.
+    fn victim(&mut self) -> usize {
+        let lead = self.instances.iter().position(|i| i.core.is_some());
+        let any = self.rng.random_range(0..INSTANCES);
+        if self.rng.random_range(0..2) == 0 { lead.unwrap_or(any) } else { any }
+    }
+
+    /// Brings about one fault, or two at once.
     fn fault(&mut self) {
+        for _ in 0..self.rng.random_range(1..=2) {
+            self.bring_about();
+        }
+        let next_ms = self.now_ms + self.rng.random_range(300..4000);
+        if next_ms < FAULTS_END_MS {
+            self.at(next_ms, Event::Fault);
+        }
+    }
+
+    fn bring_about(&mut self) {
         let now_ms = self.now_ms;
         match self.rng.random_range(0..6) {
             0..=2 => {
-                // Pauses around the lease are the most telling ones.
-                let at = self.rng.random_range(0..INSTANCES);
-                self.instances[at].paused_until_ms = now_ms + self.rng.random_range(200..5000);
+                let at = self.victim();
+                self.instances[at].paused_until_ms = now_ms + self.rng.random_range(200..7000);
             }
             3 => self.log_down_until_ms = now_ms + self.rng.random_range(500..4000),
             4 => {
                 // The process dies and another of the same name starts.
-                let at = self.rng.random_range(0..INSTANCES);
+                let at = self.victim();
                 let instance = &mut self.instances[at];
                 instance.own.incarnation += 1;
                 instance.claimant = Claimant::new(CELL);
@@ -296,8 +333,6 @@
                 self.worker_down_until_ms[at] = now_ms + RESTART_MS;
             }
         }
-        let next_ms = now_ms + self.rng.random_range(300..4000);
-        self.at(next_ms, Event::Fault);
     }
 
     fn read(&mut self, instance: usize) {
@@ -341,7 +376,9 @@
         self.claim(instance);
         self.start_core(instance);
         let asks = self.rng.random_range(0..100) < 25;
-        let model = format!("m{}", self.rng.random_range(0..MODELS));
+        let at_random = self.rng.random_range(0..MODELS);
+        let in_turn = now_ms / TURN_MS % MODELS;
+        let model = format!("m{}", if now_ms < RECOVERED_MS { at_random } else { in_turn });
         let state = &mut self.instances[instance];
         let Some(core) = state.core.as_mut() else { return };
         let Some(held) = state.claimant.held() else { return };
@@ -430,6 +467,7 @@
                 let mut wanted = None;
                 if let Record::Load(load) = &record {
                     self.outcome.decisions += 1;
+                    self.outcome.late_decisions += u64::from(now_ms >= RECOVERED_MS);
                     let key = (load.worker.clone(), load.target.model.clone());
                     *self.decided.get_or_insert_with(key, || 0) += 1;
                     wanted = Some((load.epoch, load.sequence));
