Let a repeated call with the same key wait for the first one's end

Change: a call whose key is held waits for the end of the holder, 1 s at most: it gets its answer, or the key. Figures: unit test with the holder answered, voided, and silent (held after 1 s). Conclusion: 'after not_run a retry is safe' now also holds in the callers' eyes.

--- a/lovageridge/src/attempts/claims/duty.rs
+++ b/lovageridge/src/attempts/claims/duty.rs
@@ -23,6 +23,8 @@
 const BATCH_MAX: usize = 256;
 /// Time for which an append waits for further records.
 const BATCH_WINDOW: Duration = Duration::from_millis(10);
+/// Longest wait for the end of another request that holds the key.
+const HELD_WAIT: Duration = Duration::from_millis(1000);
 /// Threads that append.
 pub const APPEND_THREADS: usize = 3;
 /// Longest wait of one read for a first record, in ms.
@@ -90,7 +92,8 @@
         if !*lock(&self.caught_up) {
             return Verdict::Unavailable;
         }
-        if let Some(verdict) = judge(&lock(&self.fold), claim) {
+        let held_until = Instant::now() + timeout.min(HELD_WAIT);
+        if let Some(verdict) = self.wait_while_held(claim, held_until) {
             return verdict;
         }
         let record = Record::Claim {
@@ -101,12 +104,32 @@
         if self.ring.try_send(record).is_err() {
             return Verdict::Unavailable;
         }
-        match self.wait(claim, timeout) {
-            Some(verdict) => verdict,
-            None => {
-                self.void(claim.key, claim.request_id);
-                Verdict::Unavailable
-            }
+        let verdict = match self.wait(claim, timeout) {
+            Some(Verdict::Held) => self.wait_while_held(claim, held_until),
+            other => other,
+        };
+        verdict.unwrap_or_else(|| {
+            self.void(claim.key, claim.request_id);
+            Verdict::Unavailable
+        })
+    }
+
+    /// Waits until the request that holds the key has ended, at most until `until`.
+    ///
+    /// Returns `None` when the key is free, and [`Verdict::Held`] when it is held still. So a caller
+    /// that repeats a call at once gets the first call's answer, or runs if that one was voided.
+    fn wait_while_held(&self, claim: Claim<'_>, until: Instant) -> Option<Verdict> {
+        let mut fold = lock(&self.fold);
+        loop {
+            let verdict = judge(&fold, claim)?;
+            let left = until.checked_duration_since(Instant::now());
+            let Some(left) = left.filter(|_| verdict == Verdict::Held) else {
+                return Some(verdict);
+            };
+            fold = match self.folded.wait_timeout(fold, left) {
+                Ok((fold, _)) => fold,
+                Err(poisoned) => poisoned.into_inner().0,
+            };
         }
     }
 
@@ -138,6 +161,14 @@
         let _ = self.ring.try_send(record);
     }
 
+    /// Folds one record, and counts as having read the whole stream.
+    #[cfg(test)]
+    pub fn fold_for_test(&self, offset: u64, record: Record) {
+        lock(&self.fold).apply(offset, record);
+        *lock(&self.caught_up) = true;
+        self.folded.notify_all();
+    }
+
     /// Returns the number of keys held.
     pub fn len(&self) -> usize {
         lock(&self.fold).len()
--- a/lovageridge/src/attempts/tests.rs
+++ b/lovageridge/src/attempts/tests.rs
@@ -1,5 +1,14 @@
 //! Tests of the attempts slice.
 
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use test_case::test_case;
+
+use crate::attempts::claims::duty::Claim;
+use crate::attempts::claims::duty::Claims;
+use crate::attempts::claims::duty::Verdict;
 use crate::attempts::claims::fold::Fold;
 use crate::attempts::claims::fold::Record;
 
@@ -15,6 +24,16 @@
     Record::Void { key: "k".to_owned(), request_id: request_id.to_owned() }
 }
 
+fn answered(request_id: &str) -> Record {
+    Record::Answered {
+        key: "k".to_owned(),
+        request_id: request_id.to_owned(),
+        status_code: 201,
+        content_type: String::new(),
+        body: Some("booked".to_owned()),
+    }
+}
+
 fn holder(fold: &Fold) -> Option<&str> {
     fold.key("k").map(|state| state.request_id.as_str())
 }
@@ -43,14 +62,7 @@
 fn an_answered_key_cannot_be_voided() {
     let mut fold = Fold::default();
     fold.apply(0, claim("r1"));
-    let answered = Record::Answered {
-        key: "k".to_owned(),
-        request_id: "r1".to_owned(),
-        status_code: 201,
-        content_type: String::new(),
-        body: Some("booked".to_owned()),
-    };
-    fold.apply(1, answered);
+    fold.apply(1, answered("r1"));
     fold.apply(2, void("r1"));
     assert_eq!(holder(&fold), Some("r1"));
     assert!(fold.key("k").is_some_and(|state| state.answer.is_some()));
@@ -64,3 +76,44 @@
     assert!(fold.is_empty());
     assert_eq!(fold.next_offset(), 1);
 }
+
+/// What becomes of the request that holds the key while another one waits.
+enum Holder {
+    Answered,
+    Voided,
+    Silent,
+}
+
+#[test_case(&Holder::Answered, "answered"; "the answer of the holder")]
+#[test_case(&Holder::Voided, "won"; "the key once it is free")]
+#[test_case(&Holder::Silent, "held"; "that the key is held")]
+fn a_call_that_is_repeated_at_once_gets(holder: &Holder, expected: &str) {
+    let (claims, records) = Claims::new();
+    claims.fold_for_test(0, claim("r1"));
+    let begun = Instant::now();
+    let verdict = thread::scope(|scope| {
+        let repeated = scope.spawn(|| {
+            let second = Claim { key: "k", request_id: "r2", fingerprint: "f" };
+            claims.claim(second, Duration::from_millis(2500))
+        });
+        thread::sleep(Duration::from_millis(50));
+        match holder {
+            Holder::Answered => claims.fold_for_test(1, answered("r1")),
+            Holder::Voided => {
+                claims.fold_for_test(1, void("r1"));
+                let own = records.recv_timeout(Duration::from_secs(2)).expect("its own claim");
+                claims.fold_for_test(2, own);
+            }
+            Holder::Silent => {}
+        }
+        repeated.join().expect("a verdict")
+    });
+    let name = match verdict {
+        Verdict::Won => "won",
+        Verdict::Answered(_) => "answered",
+        Verdict::Held => "held",
+        Verdict::Mismatch | Verdict::Unavailable => "refused",
+    };
+    assert_eq!(name, expected);
+    assert!(begun.elapsed() < Duration::from_millis(2000), "it is told in time");
+}
