--- a/lovageridge/src/admin/api.rs
+++ b/lovageridge/src/admin/api.rs
@@ -1,69 +1,17 @@
-//! Types of the administration interface, as `docs/admin-api.json` describes them.
-
-use serde::Deserialize;
-use serde::Serialize;
-
-use crate::config::record::SectionChange;
-
-/// One section with its version.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct SectionView {
-    /// Section, such as `model.grain-chat`.
-    pub section: String,
-    /// Version to name as base of an edit.
-    pub version: u64,
-    /// Body in INI.
-    pub body: String,
-}
-
-/// The sections of the document in force.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Sections {
-    /// Version of the document.
-    pub version: u64,
-    /// The sections in order of name.
-    pub sections: Vec<SectionView>,
-}
-
-/// Body of a call that edits sections.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct EditRequest {
-    /// Name chosen by the author; the same edit sent twice is applied once.
-    pub edit_id: String,
-    /// Changed sections.
-    pub changes: Vec<SectionChange>,
-}
-
-/// What became of an edit.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case", tag = "result")]
-pub enum EditReply {
-    /// The edit is in force.
-    Accepted {
-        /// Version of the document that holds it.
-        version: u64,
-    },
-    /// A section has changed since the author read it.
-    Conflict {
-        /// The section.
-        section: String,
-        /// Its present version.
-        current_version: u64,
-    },
-    /// The team may not edit a section.
-    Forbidden {
-        /// The section.
-        section: String,
-    },
-    /// The document would not be valid.
-    Invalid {
-        /// Each fault.
-        faults: Vec<String>,
-    },
-    /// The log has not confirmed the edit; the same `edit_id` may be sent again.
-    Unconfirmed,
-}
+//! Types of the administration port, and what they become inside.
+//!
+//! `schema/admin.json` describes them; the types themselves are generated from it.
+
+pub use crate::admin::generated::AdminError;
+pub use crate::admin::generated::EditReply;
+pub use crate::admin::generated::EditRequest;
+pub use crate::admin::generated::Explanation;
+pub use crate::admin::generated::HistoryEntry;
+pub use crate::admin::generated::SectionChange;
+pub use crate::admin::generated::SectionView;
+pub use crate::admin::generated::Sections;
+use crate::config::fold::Verdict;
+use crate::config::record;
 
 impl EditReply {
     /// Returns the HTTP status of the reply.
@@ -78,28 +26,29 @@
     }
 }
 
-/// One past edit of the log, for audits.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct HistoryEntry {
-    /// Offset of the record.
-    pub offset: u64,
-    /// Name of the edit.
-    pub edit_id: String,
-    /// Team that signed it.
-    pub team: String,
-    /// Time of the edit in ms since the Unix epoch.
-    pub written_unix_ms: u64,
-    /// Changed sections with their base versions.
-    pub changes: Vec<SectionChange>,
-    /// What became of it, when still known.
-    pub result: Option<EditReply>,
+impl From<Verdict> for EditReply {
+    fn from(verdict: Verdict) -> Self {
+        match verdict {
+            Verdict::Accepted { version } => Self::Accepted { version },
+            Verdict::Conflict { section, current_version } => {
+                Self::Conflict { section, current_version }
+            }
+            Verdict::Forbidden { section } => Self::Forbidden { section },
+            Verdict::Invalid { faults } => Self::Invalid { faults },
+        }
+    }
+}
+
+impl From<SectionChange> for record::SectionChange {
+    fn from(change: SectionChange) -> Self {
+        let SectionChange { section, base_version, body } = change;
+        Self { section, base_version, body }
+    }
 }
 
-/// An error of the administration port.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct AdminError {
-    /// Stable code.
-    pub code: String,
-    /// Text for a person.
-    pub message: String,
+impl From<record::SectionChange> for SectionChange {
+    fn from(change: record::SectionChange) -> Self {
+        let record::SectionChange { section, base_version, body } = change;
+        Self { section, base_version, body }
+    }
 }
--- a/lovageridge/src/admin/edits.rs
+++ b/lovageridge/src/admin/edits.rs
@@ -10,7 +10,6 @@
 use crate::admin::api::SectionView;
 use crate::admin::api::Sections;
 use crate::clock::unix_ms;
-use crate::config::fold::Verdict;
 use crate::config::record::Edit;
 use crate::config::record::Record;
 use crate::config::record::STREAM;
@@ -65,12 +64,12 @@
 pub fn apply(ctx: &Context, team: &str, request: EditRequest) -> EditReply {
     let edit_id = request.edit_id.clone();
     if let Some(verdict) = ctx.config.lock().verdict(&edit_id) {
-        return reply(verdict);
+        return verdict.clone().into();
     }
     let edit = Edit {
         edit_id: request.edit_id,
         team: team.to_owned(),
-        changes: request.changes,
+        changes: request.changes.into_iter().map(Into::into).collect(),
         written_unix_ms: unix_ms(),
     };
     let appended = ctx.log.append(STREAM, &Record::Edit(edit));
@@ -82,22 +81,11 @@
         return EditReply::Unconfirmed;
     }
     match ctx.config.wait_verdict(&edit_id, VERDICT_TIMEOUT) {
-        Some(verdict) => reply(&verdict),
+        Some(verdict) => verdict.into(),
         None => EditReply::Unconfirmed,
     }
 }
 
-fn reply(verdict: &Verdict) -> EditReply {
-    match verdict.clone() {
-        Verdict::Accepted { version } => EditReply::Accepted { version },
-        Verdict::Conflict { section, current_version } => {
-            EditReply::Conflict { section, current_version }
-        }
-        Verdict::Forbidden { section } => EditReply::Forbidden { section },
-        Verdict::Invalid { faults } => EditReply::Invalid { faults },
-    }
-}
-
 /// Returns the edits that the log still holds, with their results as far as they are known.
 ///
 /// # Errors
@@ -110,11 +98,11 @@
         let concerns = edit.changes.iter().any(|c| c.section.starts_with(prefix));
         concerns.then(|| HistoryEntry {
             offset: entry.offset,
-            result: fold.verdict(&edit.edit_id).map(reply),
+            result: fold.verdict(&edit.edit_id).cloned().map(Into::into),
             edit_id: edit.edit_id,
             team: edit.team,
             written_unix_ms: edit.written_unix_ms,
-            changes: edit.changes,
+            changes: edit.changes.into_iter().map(Into::into).collect(),
         })
     });
     Ok(entries.collect())
--- a/lovageridge/src/admin/explain.rs
+++ b/lovageridge/src/admin/explain.rs
@@ -1,26 +1,10 @@
 //! Explains why a model is or is not loaded.
 
-use serde::Serialize;
-
+use crate::admin::api::Explanation;
 use crate::admin::status;
 use crate::context::Context;
 use crate::leadership::cell_parts;
 
-/// Explanation of one model or adapter.
-#[derive(Clone, Debug, Serialize)]
-pub struct Explanation {
-    /// What was asked for.
-    pub name: String,
-    /// Model behind it; `None` when the document has neither.
-    pub model: Option<String>,
-    /// Workers that hold it, as this instance sees them.
-    pub resident_on: Vec<String>,
-    /// Leads of the cells that could load it, with their epochs.
-    pub cells: Vec<String>,
-    /// The reasons, in words.
-    pub reasons: Vec<String>,
-}
-
 /// Returns why `name` is or is not loaded, from what this instance sees.
 pub fn model(ctx: &Context, name: &str) -> Explanation {
     let config = ctx.config.current();
--- a/lovageridge/src/cli/remote.rs
+++ b/lovageridge/src/cli/remote.rs
@@ -9,6 +9,7 @@
 use crate::admin::api::AdminError;
 use crate::admin::api::EditReply;
 use crate::admin::api::EditRequest;
+use crate::admin::api::SectionChange;
 use crate::admin::api::SectionView;
 use crate::admin::api::Sections;
 use crate::cli::EXIT_INVALID;
@@ -20,7 +21,6 @@
 use crate::cli::options::PublishOptions;
 use crate::cli::options::SectionsOptions;
 use crate::cli::options::StatusOptions;
-use crate::config::record::SectionChange;
 use crate::document::parse;
 use crate::outbound;
 
