--- a/lovageridge/tests/integration.rs
+++ b/lovageridge/tests/integration.rs
@@ -1,8 +1,11 @@
 //! Drives the real binary: command line, settings, malformed calls, the administration port.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Command;
 use std::process::Output;
+use std::time::Duration;
 
 use standins::process::Workspace;
 use standins::venture::Shape;
@@ -113,6 +116,49 @@
     world.close().expect("the entry ends well");
 }
 
+/// Silent connections cost others nothing; slow bodies hold a place each, and beyond the limit calls are
+/// refused at once, as not run, until the places are free again.
+#[test]
+fn slow_and_silent_clients_are_bounded() {
+    const MAX_REQUESTS: usize = 4;
+    let shape = Shape { entries: 1, workers: 1, domains: vec!["a".into()], ..Shape::default() };
+    let settings = format!("linger_ms = 100\n[limits]\nmax_requests = {MAX_REQUESTS}");
+    let world = World::start(binary(), shape, &settings).expect("a venture");
+    let addr = world.entries[0].addrs.callers;
+    let connect = || TcpStream::connect(addr).expect("a connection");
+    let models = || {
+        let answer = lovageridge::outbound::get(format!("http://{addr}/v1/models"))
+            .header("authorization", format!("Bearer {}", standins::venture::GROWERS_KEY))
+            .send()
+            .expect("an answer");
+        (answer.status().as_u16(), answer.text_utf8().unwrap_or_default())
+    };
+    let silent: Vec<TcpStream> = (0..200).map(|_| connect()).collect();
+    assert_eq!(models().0, 200, "silent connections are no requests");
+
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\
+         content-length: 5000\r\n\r\n{{",
+        standins::venture::GROWERS_KEY
+    );
+    let slow: Vec<TcpStream> = (0..MAX_REQUESTS)
+        .map(|_| {
+            let mut stream = connect();
+            stream.write_all(head.as_bytes()).expect("the head is taken");
+            stream
+        })
+        .collect();
+    let timeout = Duration::from_secs(5);
+    let refused = world.wait_until(timeout, |_| models().0 == 503);
+    assert!(refused, "slow bodies hold all places");
+    let (_, text) = models();
+    assert!(text.contains("overloaded") && text.contains("\"ran\":\"not_run\""), "{text}");
+    drop(slow);
+    assert!(world.wait_until(timeout, |_| models().0 == 200), "the places are free again");
+    drop(silent);
+    world.close().expect("the entry ends well");
+}
+
 /// Spans of one request reach the collector as one trace with a span for each hop; a collector that
 /// is away costs no caller anything.
 #[test]
@@ -142,7 +188,7 @@
         let spans = world.collector.spans().into_iter();
         spans.filter(|span| span.trace_id == trace_id).collect::<Vec<_>>()
     };
-    let timeout = std::time::Duration::from_secs(10);
+    let timeout = Duration::from_secs(10);
     let metric = |name: &str| {
         let (_, text) = world.admin(0, "/metrics").expect("metrics");
         let row = text.lines().find(|l| l.starts_with(&format!("lovageridge_{name} ")));
