--- a/lovageridge/src/admin/edits.rs
+++ b/lovageridge/src/admin/edits.rs
@@ -14,7 +14,7 @@
 use crate::config::record::Record;
 use crate::config::record::STREAM;
 use crate::context::Context;
-use crate::platform;
+use crate::infra;
 use crate::telemetry::events;
 
 /// Longest wait for the verdict on an edit.
@@ -77,7 +77,7 @@
     ctx.metrics.log_appends_total.with_label_values(&[STREAM, label]).inc();
     let detail = format!("team={team} edit={edit_id} appended={label}");
     info!("{}", events::EDIT_APPENDED.text(&ctx.own.instance_id, &detail));
-    if matches!(appended, Err(platform::Error::Status { .. })) {
+    if matches!(appended, Err(infra::Error::Status { .. })) {
         return EditReply::Unconfirmed;
     }
     match ctx.config.wait_verdict(&edit_id, VERDICT_TIMEOUT) {
@@ -90,7 +90,7 @@
 ///
 /// # Errors
 /// Returns the error of the log.
-pub fn history(ctx: &Context, prefix: &str) -> Result<Vec<HistoryEntry>, platform::Error> {
+pub fn history(ctx: &Context, prefix: &str) -> Result<Vec<HistoryEntry>, infra::Error> {
     let page = ctx.log.read(STREAM, 0, 0)?;
     let fold = ctx.config.lock();
     let entries = page.records.iter().filter_map(|entry| {
--- a/lovageridge/src/cli.rs
+++ b/lovageridge/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line: arguments, exit codes and the commands behind them.
 
 pub mod check;
+pub mod gateway;
 pub mod options;
 pub mod remote;
 pub mod serve;
@@ -68,6 +69,7 @@
     }
     match line.command {
         Some(Command::Serve(options)) => serve::run(&options),
+        Some(Command::Gateway(options)) => gateway::run(&options),
         Some(Command::Check(options)) => check::run(&options),
         Some(Command::Publish(options)) => remote::publish(&options),
         Some(Command::Sections(options)) => remote::sections(&options),
--- a/lovageridge/src/cli/options.rs
+++ b/lovageridge/src/cli/options.rs
@@ -7,8 +7,9 @@
 use crate::ini::nearest;
 
 /// Names of all commands and flags, for suggestions.
-const NAMES: [&str; 20] = [
+const NAMES: [&str; 22] = [
     "serve",
+    "gateway",
     "check",
     "publish",
     "sections",
@@ -17,6 +18,7 @@
     "version",
     "--help",
     "--settings",
+    "--platform-settings",
     "--document",
     "--admin",
     "--token",
@@ -45,6 +47,8 @@
 pub enum Command {
     /// run an instance
     Serve(ServeOptions),
+    /// run an instance on the users' platform
+    Gateway(GatewayOptions),
     /// check settings or a document and print every fault
     Check(CheckOptions),
     /// publish a document: all sections that differ, as one edit
@@ -72,6 +76,16 @@
     pub log_level: log::LevelFilter,
 }
 
+/// Arguments of `gateway`.
+#[derive(Debug, Options)]
+pub struct GatewayOptions {
+    /// print help
+    pub help: bool,
+    /// settings file of the platform, instead of the one it names
+    #[options(no_short, meta = "FILE")]
+    pub settings: Option<String>,
+}
+
 /// Arguments of `check`.
 #[derive(Debug, Options)]
 pub struct CheckOptions {
@@ -80,6 +94,9 @@
     /// file with the settings of an instance
     #[options(no_short, meta = "FILE")]
     pub settings: Option<String>,
+    /// settings file of the platform
+    #[options(no_short, meta = "FILE")]
+    pub platform_settings: Option<String>,
     /// file with the venture's document
     #[options(no_short, meta = "FILE")]
     pub document: Option<String>,
--- a/lovageridge/src/context.rs
+++ b/lovageridge/src/context.rs
@@ -19,7 +19,7 @@
 use crate::hashing;
 use crate::membership::Members;
 use crate::placement::event::Event as LeadEvent;
-use crate::platform::log::LogClient;
+use crate::infra::log::LogClient;
 use crate::settings::Settings;
 use crate::telemetry::metrics::Metrics;
 use crate::telemetry::trace::Tracer;
--- a/lovageridge/src/dispatch/duty.rs
+++ b/lovageridge/src/dispatch/duty.rs
@@ -17,7 +17,7 @@
 use crate::dispatch::core::PoolKey;
 use crate::dispatch::core::Submit;
 use crate::placement::event::Event as LeadEvent;
-use crate::platform::list::Listed;
+use crate::infra::list::Listed;
 use crate::routing::Choice;
 use crate::sorted::Table;
 use crate::wire::AdmittedReport;
--- /dev/null
+++ b/lovageridge/src/gateway.rs
@@ -0,0 +1,217 @@
+//! The gateway: callers' HTTP on one side, upstreams on the other, on the users' platform.
+//!
+//! All work of an instance runs on one thread: requests, the tail of the store's records, messages
+//! between instances, the claims of leadership and, on the lead, what model workers hold. Decisions
+//! are plain functions of state and time; the `duty` modules do the input and output. The log is
+//! written by a second thread.
+
+pub mod answer;
+pub mod attempt;
+pub mod budget;
+pub mod call;
+pub mod catalog;
+pub mod directory;
+pub mod eventlog;
+pub mod fleet;
+pub mod lead;
+pub mod link;
+pub mod metrics;
+pub mod orders;
+pub mod peers;
+pub mod pool;
+pub mod relay;
+pub mod run;
+pub mod serve;
+pub mod settings;
+pub mod sync;
+pub mod waits;
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::clock::unix_ms;
+use crate::gateway::budget::Budget;
+use crate::gateway::budget::BudgetRule;
+use crate::gateway::catalog::Catalog;
+use crate::gateway::directory::Directory;
+use crate::gateway::eventlog::EventLog;
+use crate::gateway::fleet::Fleet;
+use crate::gateway::lead::Election;
+use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::peers::Peers;
+use crate::gateway::pool::Pool;
+use crate::gateway::settings::GatewaySettings;
+use crate::gateway::sync::StoreView;
+use crate::gateway::waits::Waits;
+use crate::hashing;
+use crate::sorted::Table;
+
+/// Longest time by which an instance delays a claim after others, in ms.
+const CLAIM_STAGGER_MAX_MS: u64 = 300;
+
+/// The lead as heard from itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeadHeard {
+    /// Name of the instance.
+    pub instance_id: String,
+    /// Fencing number.
+    pub fence: u64,
+    /// Address of its port for peers; `None` on the lead itself.
+    pub addr: Option<SocketAddr>,
+    /// Time it was heard, in ms.
+    pub at_ms: u64,
+}
+
+/// State of one gateway instance.
+pub struct Gateway {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// Start of the process, as Unix time in ms.
+    pub incarnation: u64,
+    /// Monotonic time.
+    pub clock: Clock,
+    /// Configuration in force.
+    pub catalog: RefCell<Option<Rc<Catalog>>>,
+    /// What has been read from the store.
+    pub store: RefCell<StoreView>,
+    /// Workers.
+    pub directory: RefCell<Directory>,
+    /// Kept connections to upstreams.
+    pub pool: RefCell<Pool>,
+    /// Told when a worker, a configuration or what workers hold has changed.
+    pub changed: Notify,
+    /// Other instances.
+    pub peers: RefCell<Peers>,
+    /// Socket for datagrams to them.
+    pub socket: UdpSocket,
+    /// Claims of leadership.
+    pub election: RefCell<Election>,
+    /// Lead that was heard last.
+    pub lead: RefCell<Option<LeadHeard>>,
+    /// State of the model workers while this instance leads.
+    pub fleet: RefCell<Option<Fleet>>,
+    /// Told when the lead has something to decide.
+    pub fleet_due: Notify,
+    /// Requests that wait for a model.
+    pub waits: RefCell<Waits>,
+    /// Told when the lead should hear of the waiting requests.
+    pub demand_due: Notify,
+    /// Structured log.
+    pub log: EventLog,
+    /// Metrics.
+    pub metrics: GatewayMetrics,
+    /// Set when the instance is told to stop.
+    pub leaving: Cell<bool>,
+    /// Told when connections of callers shall end after the request in progress.
+    pub close_told: Notify,
+    budgets: RefCell<Table<String, Budget>>,
+    in_progress: Cell<usize>,
+}
+
+impl Gateway {
+    /// Joins the parts of an instance.
+    pub fn new(
+        settings: GatewaySettings,
+        clock: Clock,
+        socket: UdpSocket,
+        log: EventLog,
+        metrics: GatewayMetrics,
+    ) -> Self {
+        let incarnation = unix_ms();
+        let stagger = hashing::stable_hash(&[&settings.instance_id, &incarnation.to_string()]);
+        let election = Election::new(
+            settings.instance_id.clone(),
+            incarnation,
+            settings.lease_ms,
+            stagger % CLAIM_STAGGER_MAX_MS,
+        );
+        Self {
+            settings,
+            incarnation,
+            clock,
+            catalog: RefCell::default(),
+            store: RefCell::default(),
+            directory: RefCell::default(),
+            pool: RefCell::default(),
+            changed: Notify::new(),
+            peers: RefCell::default(),
+            socket,
+            election: RefCell::new(election),
+            lead: RefCell::default(),
+            fleet: RefCell::default(),
+            fleet_due: Notify::new(),
+            waits: RefCell::default(),
+            demand_due: Notify::new(),
+            log,
+            metrics,
+            leaving: Cell::new(false),
+            close_told: Notify::new(),
+            budgets: RefCell::default(),
+            in_progress: Cell::new(0),
+        }
+    }
+
+    /// Returns the monotonic time in ms.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Returns the configuration in force.
+    pub fn catalog(&self) -> Option<Rc<Catalog>> {
+        self.catalog.borrow().clone()
+    }
+
+    /// Tells whether the balancer shall send callers here.
+    pub fn is_ready(&self) -> bool {
+        let knows_workers =
+            self.catalog().is_some_and(|catalog| self.directory.borrow().serves_any(&catalog));
+        knows_workers && !self.leaving.get()
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn in_progress(&self) -> usize {
+        self.in_progress.get()
+    }
+
+    fn count_in_progress(&self, change: isize) {
+        let count = self.in_progress.get().saturating_add_signed(change);
+        self.in_progress.set(count);
+        self.metrics.in_progress.set(count as i64);
+    }
+
+    fn budget_rule(&self) -> BudgetRule {
+        BudgetRule {
+            permille: self.settings.retry_permille,
+            slack: self.settings.retry_slack,
+            window_ms: self.settings.retry_window_ms,
+        }
+    }
+
+    /// Notes a request of a caller to `service`.
+    pub fn on_request(&self, service: &str) {
+        let rule = self.budget_rule();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.get_or_insert_with(service.to_owned(), Budget::default);
+        budget.on_request(&rule, self.now_ms());
+    }
+
+    /// Takes a repeated send to `service` out of the budget.
+    pub fn take_repeat(&self, service: &str) -> bool {
+        let rule = self.budget_rule();
+        let now_ms = self.now_ms();
+        let instances = self.peers.borrow().instance_count(now_ms);
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.get_or_insert_with(service.to_owned(), Budget::default);
+        let granted = budget.take(&rule, instances, now_ms);
+        if !granted {
+            self.metrics.budget_refused_total.with_label_values(&[service]).inc();
+        }
+        granted
+    }
+}
--- /dev/null
+++ b/lovageridge/src/gateway/answer.rs
@@ -0,0 +1,149 @@
+//! Answers to callers: whole ones, streams, and refusals.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+use hyper::header::HeaderValue;
+
+use crate::gateway::relay::Relay;
+use crate::platform::headers;
+
+/// A stream that broke off; the caller's connection ends without an end of the body.
+#[derive(Debug, thiserror::Error)]
+#[error("the stream broke off: {0}")]
+pub struct Broken(pub &'static str);
+
+type Next = Pin<Box<dyn Future<Output = (Option<Result<Bytes, Broken>>, Relay)>>>;
+
+/// Body of an answer.
+pub enum OutBody {
+    /// A body that is there as a whole.
+    Whole(Option<Bytes>),
+    /// A stream that is passed on as it arrives.
+    Stream(RelayBody),
+}
+
+/// A stream that is passed on.
+pub struct RelayBody {
+    idle: Option<Relay>,
+    // The type of an async function's future has no name.
+    next: Option<Next>,
+}
+
+impl OutBody {
+    /// Returns a body that is there as a whole.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+
+    /// Returns a stream.
+    pub fn stream(relay: Relay) -> Self {
+        Self::Stream(RelayBody { idle: Some(relay), next: None })
+    }
+}
+
+impl Body for OutBody {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => {
+                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
+                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            }
+            Self::Stream(body) => body.poll(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Self::Stream(body) => body.idle.is_none() && body.next.is_none(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
+
+impl RelayBody {
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        if let Some(relay) = self.idle.take() {
+            self.next = Some(Box::pin(relay.next()));
+        }
+        let Some(next) = &mut self.next else { return Poll::Ready(None) };
+        let Poll::Ready((item, relay)) = next.as_mut().poll(context) else {
+            return Poll::Pending;
+        };
+        self.next = None;
+        match item {
+            Some(Ok(bytes)) => {
+                self.idle = Some(relay);
+                Poll::Ready(Some(Ok(Frame::data(bytes))))
+            }
+            Some(Err(broken)) => Poll::Ready(Some(Err(broken))),
+            None => Poll::Ready(None),
+        }
+    }
+}
+
+/// Why a request is answered by the gateway itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Refusal {
+    /// HTTP status; 408, 421, 429 and 503 promise that the request has not run and never will.
+    pub status: StatusCode,
+    /// Cause, for the log and the body.
+    pub cause: &'static str,
+    /// When to come back, in ms.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    /// Returns a refusal that promises that the request has not run.
+    pub fn not_run(cause: &'static str, retry_after_ms: u64) -> Self {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Self { status, cause, retry_after_ms: Some(retry_after_ms) }
+    }
+
+    /// Returns a failure that promises nothing.
+    pub fn failed(status: StatusCode, cause: &'static str) -> Self {
+        Self { status, cause, retry_after_ms: None }
+    }
+
+    /// Returns the answer to the request `id`.
+    pub fn into_response(self, id: Option<&str>) -> Response<OutBody> {
+        let mut headers = HeaderMap::new();
+        headers::mark_own_answer(&mut headers, id);
+        headers
+            .insert(hyper::header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if let Some(ms) = self.retry_after_ms {
+            let seconds = format!("{}.{:03}", ms / 1000, ms % 1000);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                headers.insert(hyper::header::RETRY_AFTER, value);
+            }
+        }
+        let mut response = Response::new(OutBody::whole(format!("{}\n", self.cause)));
+        *response.status_mut() = self.status;
+        *response.headers_mut() = headers;
+        response
+    }
+}
--- /dev/null
+++ b/lovageridge/src/gateway/attempt.rs
@@ -0,0 +1,691 @@
+//! The life of a request: which worker gets it, whether it has run, and what may be done again.
+//!
+//! A request may have run from the first byte that is written until its worker says that it did
+//! not. Until that word, a request that may run once is sent nowhere else and gets no refusal that
+//! promises that it has not run.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::Uri;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use tokio::time::timeout;
+
+use crate::gateway::Gateway;
+use crate::gateway::answer::OutBody;
+use crate::gateway::answer::Refusal;
+use crate::gateway::call::CallFields;
+use crate::gateway::call::OutcomeFields;
+use crate::gateway::call::SendFields;
+use crate::gateway::catalog::Catalog;
+use crate::gateway::catalog::Route;
+use crate::gateway::catalog::RouteKind;
+use crate::gateway::directory::choose::Lack;
+use crate::gateway::directory::choose::Need;
+use crate::gateway::directory::choose::choose;
+use crate::gateway::eventlog::Weight;
+use crate::gateway::link::SendBody;
+use crate::gateway::link::dial;
+use crate::gateway::relay::Relay;
+use crate::gateway::waits::Target;
+use crate::platform::headers;
+use crate::telemetry::events;
+
+/// Longest time for a connection to a worker; within a region one takes 3 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Sends to one worker again after it said that it did not run the request.
+const SAME_WORKER_SENDS: u32 = 3;
+/// Pause before such a send, in ms.
+const SAME_WORKER_PAUSE_MS: u64 = 40;
+/// Connections that may fail before a request is refused.
+const CONNECT_TRIES: u32 = 5;
+/// Answers of plain services up to this size are read before they are passed on, in bytes.
+const WHOLE_ANSWER_MAX_BYTES: usize = 2 << 20;
+/// Pause of callers before they leave a stream without events, at least, in ms.
+const CALLER_PATIENCE_MS: u64 = 2000;
+/// Part of a caller's patience for which a request waits for a model, in percent.
+const WAIT_PATIENCE_PCT: u64 = 70;
+/// Shortest time for a first answer before another worker is tried, in ms.
+const SWITCH_MIN_MS: u64 = 250;
+/// Shortest time to the first event before another worker is tried, in ms.
+const SWITCH_STREAM_MIN_MS: u64 = 2000;
+/// When to come back after a wait for a model, in ms: a load from disk takes about that long.
+const RETRY_COLD_MS: u64 = 700;
+/// When to come back while a worker is full or a connection failed, in ms.
+const RETRY_BUSY_MS: u64 = 150;
+/// When to come back to a service without workers, or an instance without configuration, in ms.
+const RETRY_ABSENT_MS: u64 = 800;
+/// Longest time between looks for a worker while a request waits.
+const WAIT_LOOK: Duration = Duration::from_millis(120);
+
+/// A request that has been read.
+pub struct Call {
+    /// Method.
+    pub method: Method,
+    /// Path and query, unchanged.
+    pub uri: Uri,
+    /// Headers of the caller.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// What the headers say.
+    pub fields: CallFields,
+    /// Configuration under which it runs.
+    pub catalog: Rc<Catalog>,
+    /// Route.
+    pub route: Route,
+    /// Service that was drawn.
+    pub service: String,
+    /// Model that it needs.
+    pub target: Option<Target>,
+    /// Time of arrival, in ms.
+    pub arrived_ms: u64,
+    /// Time at which it is given up, in ms.
+    pub give_up_ms: u64,
+}
+
+impl Call {
+    /// Returns the id for logs.
+    pub fn id(&self) -> &str {
+        self.fields.id.as_deref().unwrap_or("")
+    }
+
+    /// Returns the time at which its objective is missed, in ms.
+    pub fn objective_at_ms(&self) -> u64 {
+        self.arrived_ms + self.route.objective_ms
+    }
+
+    /// Returns the time until which it waits for a model, in ms.
+    fn wait_until_ms(&self) -> u64 {
+        let patience_ms = if self.route.kind.is_stream() {
+            let by_objective = self.route.objective_ms * 4;
+            CALLER_PATIENCE_MS.max(by_objective).max(self.route.gap_ms * 8)
+        } else {
+            self.give_up_ms.saturating_sub(self.arrived_ms)
+        };
+        let wait_ms = patience_ms * WAIT_PATIENCE_PCT / 100;
+        self.give_up_ms.min(self.arrived_ms + wait_ms)
+    }
+}
+
+/// A request in progress at a worker.
+pub struct InFlight {
+    gateway: Rc<Gateway>,
+    /// Worker.
+    pub worker_id: String,
+    model: Option<String>,
+}
+
+impl InFlight {
+    fn new(gateway: &Rc<Gateway>, worker_id: &str, model: Option<&str>) -> Self {
+        if let Some(worker) = gateway.directory.borrow_mut().get_mut(worker_id) {
+            worker.on_sent(model);
+        }
+        Self {
+            gateway: Rc::clone(gateway),
+            worker_id: worker_id.to_owned(),
+            model: model.map(str::to_owned),
+        }
+    }
+}
+
+// A caller that leaves drops its request wherever that waits, so counts end with the value.
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if let Some(worker) = self.gateway.directory.borrow_mut().get_mut(&self.worker_id) {
+            worker.on_done(self.model.as_deref());
+        }
+    }
+}
+
+/// An answer's head, its body still to come, and the connection it comes on.
+pub struct Arriving {
+    /// Head and body.
+    pub response: Response<Incoming>,
+    /// What the head says.
+    pub outcome: OutcomeFields,
+    /// Connection, which can be used again after the body.
+    pub sender: SendRequest<SendBody>,
+    /// Count of the request at its worker.
+    pub in_flight: InFlight,
+}
+
+/// What became of one send.
+pub enum Sent {
+    /// The worker answers the request.
+    Arriving(Box<Arriving>),
+    /// Nothing was sent.
+    NotSent,
+    /// The worker says that it did not run the request.
+    NotExecuted {
+        /// Status of the worker.
+        status: StatusCode,
+    },
+    /// The request may have run; there is no answer of use.
+    Unknown {
+        /// What was seen.
+        cause: &'static str,
+    },
+    /// No answer within the time limit of the send.
+    TimedOut,
+}
+
+/// Sends tried for a request.
+#[derive(Debug, Default)]
+pub struct Tries {
+    /// Workers that got the request.
+    pub workers: Vec<String>,
+    /// Sends, repeated ones included.
+    pub sends: u32,
+    connect_failures: u32,
+    same_worker: u32,
+}
+
+/// A worker that was chosen.
+#[derive(Clone, Debug)]
+struct Chosen {
+    id: String,
+    addr: std::net::SocketAddr,
+    domain: String,
+    load: u32,
+}
+
+/// Answers a request.
+pub async fn answer(gateway: &Rc<Gateway>, call: Call) -> Response<OutBody> {
+    let call = Rc::new(call);
+    gateway.on_request(&call.service);
+    if let Some(target) = &call.target {
+        gateway.waits.borrow_mut().on_arrival(target);
+    }
+    let mut tries = Tries::default();
+    let result = run(gateway, &call, &mut tries).await;
+    let waited_ms = gateway.now_ms() - call.arrived_ms;
+    let (outcome, status) = match &result {
+        Ok(response) => ("answered", response.status()),
+        Err(refusal) => (refusal.cause, refusal.status),
+    };
+    gateway.metrics.requests_total.with_label_values(&[call.route.name.as_str(), outcome]).inc();
+    let first_byte = gateway.metrics.first_byte_s.with_label_values(&[call.route.name.as_str()]);
+    first_byte.observe(waited_ms as f64 / 1000.0);
+    let late = waited_ms > call.route.objective_ms;
+    let weight = if result.is_err() || late { Weight::Notable } else { Weight::Routine };
+    let event = if result.is_ok() { events::REQUEST_ANSWERED } else { events::REQUEST_REFUSED };
+    let line = gateway.log.line(event, weight);
+    line.text("request", call.id())
+        .text("route", &call.route.name)
+        .text("model", call.target.as_ref().map_or("", |target| &target.model))
+        .text("outcome", outcome)
+        .number("status", status.as_u16())
+        .number("first_byte_ms", waited_ms)
+        .number("objective_ms", call.route.objective_ms)
+        .number("sends", tries.sends)
+        .text("workers", tries.workers.join(","))
+        .number("config_version", call.catalog.version)
+        .close();
+    match result {
+        Ok(response) => response,
+        Err(refusal) => refusal.into_response(call.fields.id.as_deref()),
+    }
+}
+
+async fn run(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
+    tries: &mut Tries,
+) -> Result<Response<OutBody>, Refusal> {
+    loop {
+        let chosen = await_worker(gateway, call, &tries.workers).await?;
+        let limit_ms = send_limit_ms(gateway, call, tries, &chosen);
+        let last_event = None;
+        let sent = send(gateway, call, &chosen, tries, last_event, limit_ms).await;
+        match sent {
+            Sent::Arriving(arriving) => {
+                if let Some(response) = pass_on(gateway, call, tries, *arriving).await? {
+                    return Ok(response);
+                }
+            }
+            Sent::NotSent => {
+                tries.connect_failures += 1;
+                if tries.connect_failures >= CONNECT_TRIES {
+                    return Err(Refusal::not_run("no worker could be reached", RETRY_BUSY_MS));
+                }
+            }
+            Sent::NotExecuted { status } => after_not_executed(gateway, call, tries, status).await?,
+            Sent::Unknown { cause } => {
+                if !may_repeat(gateway, call, tries) {
+                    return Err(Refusal::failed(StatusCode::BAD_GATEWAY, cause));
+                }
+            }
+            Sent::TimedOut => {
+                let over = gateway.now_ms() >= call.give_up_ms;
+                if over || !may_repeat(gateway, call, tries) {
+                    return Err(Refusal::failed(StatusCode::GATEWAY_TIMEOUT, "no answer in time"));
+                }
+            }
+        }
+    }
+}
+
+/// Returns the time that a send gets before another worker is tried, in ms.
+fn send_limit_ms(gateway: &Gateway, call: &Call, tries: &Tries, chosen: &Chosen) -> u64 {
+    let left_ms = call.give_up_ms.saturating_sub(gateway.now_ms());
+    let more_tries = (tries.workers.len() as u32 + 1) < call.route.max_workers;
+    if !call.route.kind.may_repeat() || !more_tries {
+        return left_ms;
+    }
+    let tried: Vec<String> =
+        tries.workers.iter().chain(std::iter::once(&chosen.id)).cloned().collect();
+    let other = find(gateway, call, &tried, true).is_ok();
+    if !other {
+        return left_ms;
+    }
+    let switch_ms = if call.route.kind.is_stream() {
+        call.route.objective_ms.max(SWITCH_STREAM_MIN_MS)
+    } else {
+        (call.route.objective_ms * 2).max(SWITCH_MIN_MS)
+    };
+    left_ms.min(switch_ms)
+}
+
+/// Tells whether a request that may have run can go to another worker.
+fn may_repeat(gateway: &Gateway, call: &Call, tries: &Tries) -> bool {
+    call.route.kind.may_repeat()
+        && (tries.workers.len() as u32) < call.route.max_workers
+        && gateway.now_ms() < call.give_up_ms
+        && gateway.take_repeat(&call.service)
+}
+
+async fn after_not_executed(
+    gateway: &Gateway,
+    call: &Call,
+    tries: &mut Tries,
+    status: StatusCode,
+) -> Result<(), Refusal> {
+    let refusal = Refusal::not_run("the worker did not take the request", RETRY_BUSY_MS);
+    let now_ms = gateway.now_ms();
+    if now_ms + SAME_WORKER_PAUSE_MS >= call.give_up_ms {
+        return Err(refusal);
+    }
+    if (tries.workers.len() as u32) < call.route.max_workers {
+        return if gateway.take_repeat(&call.service) { Ok(()) } else { Err(refusal) };
+    }
+    // A worker that is just loading the model takes the request a moment later.
+    let again = status == StatusCode::SERVICE_UNAVAILABLE
+        && call.target.is_some()
+        && tries.same_worker < SAME_WORKER_SENDS
+        && tries.workers.len() == 1
+        && gateway.take_repeat(&call.service);
+    if !again {
+        return Err(refusal);
+    }
+    tries.same_worker += 1;
+    tries.workers.clear();
+    tokio::time::sleep(Duration::from_millis(SAME_WORKER_PAUSE_MS)).await;
+    Ok(())
+}
+
+fn find(
+    gateway: &Gateway,
+    call: &Call,
+    tried: &[String],
+    skip_avoided: bool,
+) -> Result<Chosen, Lack> {
+    let now_ms = gateway.now_ms();
+    let directory = gateway.directory.borrow();
+    let need = Need {
+        service: &call.service,
+        model: call.target.as_ref().map(|target| target.model.as_str()),
+        adapter: call.target.as_ref().and_then(|target| target.adapter.as_deref()),
+        domain: &gateway.settings.domain,
+        tried,
+        skip_avoided,
+    };
+    let worker = choose(&directory, &need, now_ms, rand::random::<f64>)?;
+    Ok(Chosen {
+        id: worker.record.id.clone(),
+        addr: worker.record.addr,
+        domain: worker.record.domain.clone(),
+        load: worker.load_estimate(now_ms),
+    })
+}
+
+/// A request that waits for a model; its place ends with the value, also when the caller leaves.
+struct Waiting<'a> {
+    gateway: &'a Gateway,
+    target: &'a Target,
+    ticket: u64,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.gateway.waits.borrow_mut().remove(self.target, self.ticket);
+    }
+}
+
+/// Returns a worker for the request, waiting for its model to be loaded if need be.
+async fn await_worker(
+    gateway: &Gateway,
+    call: &Call,
+    tried: &[String],
+) -> Result<Chosen, Refusal> {
+    let mut waiting: Option<Waiting<'_>> = None;
+    let wait_until_ms = call.wait_until_ms();
+    loop {
+        let changed = gateway.changed.notified();
+        let lack = match find(gateway, call, tried, true) {
+            Ok(chosen) => {
+                if waiting.is_some() {
+                    note_cold_wait(gateway, call);
+                }
+                return Ok(chosen);
+            }
+            Err(lack) => lack,
+        };
+        let now_ms = gateway.now_ms();
+        if lack == Lack::NoWorker {
+            return Err(Refusal::not_run("no worker of the service is known", RETRY_ABSENT_MS));
+        }
+        let Some(target) = &call.target else {
+            // A plain service has nothing to wait for: take what there is.
+            let any = find(gateway, call, tried, false).or_else(|_| find(gateway, call, &[], false));
+            return any.map_err(|_| Refusal::not_run("no worker is left", RETRY_BUSY_MS));
+        };
+        let engine = call.catalog.engine(&call.service);
+        if engine.is_some_and(|engine| !engine.models.contains(target.model.as_str())) {
+            return Err(Refusal::not_run("the model is not configured", RETRY_ABSENT_MS));
+        }
+        if now_ms >= wait_until_ms {
+            note_cold_wait(gateway, call);
+            return Err(Refusal::not_run("the model was not loaded in time", RETRY_COLD_MS));
+        }
+        if waiting.is_none() {
+            let ticket = gateway.waits.borrow_mut().add(target, call.objective_at_ms());
+            waiting = Some(Waiting { gateway, target, ticket });
+            gateway.demand_due.notify_one();
+        }
+        let look = WAIT_LOOK.min(Duration::from_millis(wait_until_ms - now_ms));
+        // A look is due in any case: workers that were avoided count again after a while.
+        let _ = timeout(look, changed).await;
+    }
+}
+
+fn note_cold_wait(gateway: &Gateway, call: &Call) {
+    let waited_ms = gateway.now_ms() - call.arrived_ms;
+    let histogram = gateway.metrics.cold_wait_s.with_label_values(&[call.route.name.as_str()]);
+    histogram.observe(waited_ms as f64 / 1000.0);
+}
+
+async fn send(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    chosen: &Chosen,
+    tries: &mut Tries,
+    last_event: Option<&str>,
+    limit_ms: u64,
+) -> Sent {
+    let started_ms = gateway.now_ms();
+    let model = call.target.as_ref().map(|target| target.model.as_str());
+    let in_flight = InFlight::new(gateway, &chosen.id, model);
+    let kept = gateway.pool.borrow_mut().take(&chosen.id, started_ms);
+    let reused = kept.is_some();
+    let remaining_ms = call.give_up_ms.saturating_sub(started_ms);
+    let mut sender = match kept {
+        Some(sender) => sender,
+        None => match dial(chosen.addr, CONNECT_TIMEOUT.min(ms(remaining_ms))).await {
+            Ok(sender) => sender,
+            Err(error) => {
+                on_unreachable(gateway, call, chosen, &error.to_string());
+                return Sent::NotSent;
+            }
+        },
+    };
+    let request = match upstream_request(call, chosen, remaining_ms, last_event) {
+        Ok(request) => request,
+        Err(_) => return Sent::NotSent,
+    };
+    let sending = timeout(ms(limit_ms), sender.try_send_request(request));
+    let result = match sending.await {
+        Ok(Ok(response)) => Ok(response),
+        Ok(Err(mut error)) => {
+            if error.take_message().is_some() {
+                // The connection had ended before anything of the request was written.
+                if !reused {
+                    on_unreachable(gateway, call, chosen, "connection closed at once");
+                }
+                return Sent::NotSent;
+            }
+            Err(error.into_error())
+        }
+        Err(_) => {
+            count_send(gateway, call, tries, chosen, "timeout");
+            let mut directory = gateway.directory.borrow_mut();
+            if let Some(worker) = directory.get_mut(&chosen.id) {
+                worker.health.on_failure(gateway.now_ms());
+            }
+            return Sent::TimedOut;
+        }
+    };
+    let now_ms = gateway.now_ms();
+    let response = match result {
+        Ok(response) => response,
+        Err(error) => {
+            count_send(gateway, call, tries, chosen, "broken");
+            if let Some(worker) = gateway.directory.borrow_mut().get_mut(&chosen.id) {
+                worker.health.on_failure(now_ms);
+            }
+            log_send(gateway, call, chosen, "connection broke", &error.to_string());
+            return Sent::Unknown { cause: "the worker's connection broke" };
+        }
+    };
+    let outcome = headers::read_outcome(response.headers());
+    note_answer(gateway, call, chosen, &outcome, response.status(), now_ms - started_ms);
+    let status = response.status();
+    if outcome.not_executed || status == StatusCode::MISDIRECTED_REQUEST {
+        count_send(gateway, call, tries, chosen, "not_executed");
+        log_send(gateway, call, chosen, "not executed", status.as_str());
+        return Sent::NotExecuted { status };
+    }
+    if outcome.id.as_deref() != call.fields.id.as_deref() {
+        // Bytes that answer another request; the connection ends with the sender.
+        count_send(gateway, call, tries, chosen, "foreign");
+        log_send(gateway, call, chosen, "answer of another request", "");
+        return Sent::Unknown { cause: "the worker's answer was not for this request" };
+    }
+    if status.is_success() && (!outcome.sealed || outcome.encoded) {
+        count_send(gateway, call, tries, chosen, "unsealed");
+        log_send(gateway, call, chosen, "answer without receipt", "");
+        return Sent::Unknown { cause: "the worker's answer had no receipt" };
+    }
+    count_send(gateway, call, tries, chosen, "answered");
+    Sent::Arriving(Box::new(Arriving { response, outcome, sender, in_flight }))
+}
+
+fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn upstream_request(
+    call: &Call,
+    chosen: &Chosen,
+    remaining_ms: u64,
+    last_event: Option<&str>,
+) -> Result<Request<SendBody>, hyper::http::Error> {
+    let urgency = if call.target.is_some() { Some(urgency(&call.route)) } else { None };
+    let fields = SendFields { remaining_ms, worker_id: &chosen.id, urgency, last_event };
+    let mut request = Request::builder()
+        .method(call.method.clone())
+        .uri(call.uri.clone())
+        .body(Full::new(call.body.clone()))?;
+    *request.headers_mut() = headers::upstream_headers(&call.headers, &fields);
+    Ok(request)
+}
+
+/// Returns the urgency at the worker: by the route's rank, then by how soon callers want the start.
+fn urgency(route: &Route) -> u8 {
+    let slack = if route.objective_ms <= 1000 { 0 } else { 1 };
+    (route.rank.min(4) * 2 + slack) as u8
+}
+
+fn count_send(
+    gateway: &Gateway,
+    call: &Call,
+    tries: &mut Tries,
+    chosen: &Chosen,
+    result: &'static str,
+) {
+    tries.sends += 1;
+    if !tries.workers.contains(&chosen.id) {
+        tries.workers.push(chosen.id.clone());
+    }
+    gateway.metrics.sends_total.with_label_values(&[call.service.as_str(), result]).inc();
+}
+
+fn log_send(gateway: &Gateway, call: &Call, chosen: &Chosen, what: &str, detail: &str) {
+    gateway
+        .log
+        .line(events::SEND_FAILED, Weight::Notable)
+        .text("request", call.id())
+        .text("worker", &chosen.id)
+        .text("domain", &chosen.domain)
+        .number("load", chosen.load)
+        .text("what", what)
+        .text("detail", detail)
+        .close();
+}
+
+fn on_unreachable(gateway: &Gateway, call: &Call, chosen: &Chosen, detail: &str) {
+    gateway.metrics.sends_total.with_label_values(&[call.service.as_str(), "unreachable"]).inc();
+    gateway.pool.borrow_mut().forget(&chosen.id);
+    if let Some(worker) = gateway.directory.borrow_mut().get_mut(&chosen.id) {
+        worker.health.on_unreachable(gateway.now_ms());
+    }
+    log_send(gateway, call, chosen, "unreachable", detail);
+}
+
+fn note_answer(
+    gateway: &Gateway,
+    call: &Call,
+    chosen: &Chosen,
+    outcome: &OutcomeFields,
+    status: StatusCode,
+    first_byte_ms: u64,
+) {
+    let now_ms = gateway.now_ms();
+    let mut directory = gateway.directory.borrow_mut();
+    let Some(worker) = directory.get_mut(&chosen.id) else { return };
+    if let Some(load) = outcome.load {
+        worker.on_load(load, now_ms);
+    }
+    match (&call.target, status) {
+        (Some(target), StatusCode::MISDIRECTED_REQUEST) => {
+            worker.on_absent(&target.model, target.adapter.as_deref(), now_ms);
+        }
+        (None, StatusCode::MISDIRECTED_REQUEST) => worker.health.on_unreachable(now_ms),
+        _ if outcome.not_executed => worker.health.avoid(SAME_WORKER_PAUSE_MS, now_ms),
+        _ if status.is_server_error() => worker.health.on_failure(now_ms),
+        _ => worker.health.on_answer(first_byte_ms, now_ms),
+    }
+}
+
+/// Passes an answer on; `None` when another worker shall be tried.
+async fn pass_on(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
+    tries: &mut Tries,
+    arriving: Arriving,
+) -> Result<Option<Response<OutBody>>, Refusal> {
+    let status = arriving.response.status();
+    if status.is_server_error() && may_repeat(gateway, call, tries) {
+        return Ok(None);
+    }
+    if call.route.kind.is_stream() && status.is_success() {
+        return Ok(Some(stream(gateway, call, tries, arriving)));
+    }
+    let Arriving { response, outcome, sender, in_flight } = arriving;
+    let (parts, body) = response.into_parts();
+    let left_ms = call.give_up_ms.saturating_sub(gateway.now_ms());
+    let reading = Limited::new(body, WHOLE_ANSWER_MAX_BYTES).collect();
+    let body = match timeout(ms(left_ms), reading).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(_)) => {
+            if may_repeat(gateway, call, tries) {
+                return Ok(None);
+            }
+            let cause = "the worker's answer broke off";
+            return Err(Refusal::failed(StatusCode::BAD_GATEWAY, cause));
+        }
+        Err(_) => {
+            let cause = "the worker's answer was not complete in time";
+            return Err(Refusal::failed(StatusCode::GATEWAY_TIMEOUT, cause));
+        }
+    };
+    keep(gateway, &in_flight.worker_id, sender, &outcome);
+    let mut answer = Response::new(OutBody::whole(body));
+    *answer.status_mut() = parts.status;
+    *answer.headers_mut() = headers::caller_headers(&parts.headers);
+    Ok(Some(answer))
+}
+
+/// Keeps a connection for further requests.
+pub fn keep(
+    gateway: &Gateway,
+    worker_id: &str,
+    sender: SendRequest<SendBody>,
+    outcome: &OutcomeFields,
+) {
+    if !outcome.closes {
+        let now_ms = gateway.now_ms();
+        gateway.pool.borrow_mut().put(worker_id, sender, outcome.idle_timeout_ms, now_ms);
+    }
+}
+
+fn stream(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
+    tries: &mut Tries,
+    arriving: Arriving,
+) -> Response<OutBody> {
+    let resumable = call.route.kind == RouteKind::Stream { resumable: true };
+    let mut headers = headers::caller_headers(arriving.response.headers());
+    if resumable {
+        // A continued stream may have another length than its first part announced.
+        headers.remove(hyper::header::CONTENT_LENGTH);
+    }
+    let status = arriving.response.status();
+    let tries = std::mem::take(tries);
+    let relay = Relay::new(gateway, call, tries, arriving);
+    let mut answer = Response::new(OutBody::stream(relay));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
+}
+
+/// Sends the rest of a stream to another worker; `None` when there is none in time.
+pub async fn resume(
+    gateway: &Rc<Gateway>,
+    call: &Rc<Call>,
+    tries: &mut Tries,
+    last_event: Option<&str>,
+) -> Option<Arriving> {
+    while may_repeat(gateway, call, tries) {
+        let chosen = await_worker(gateway, call, &tries.workers).await.ok()?;
+        let limit_ms = send_limit_ms(gateway, call, tries, &chosen);
+        match send(gateway, call, &chosen, tries, last_event, limit_ms).await {
+            Sent::Arriving(arriving) if arriving.response.status().is_success() => {
+                return Some(*arriving);
+            }
+            _ => {}
+        }
+    }
+    None
+}
--- /dev/null
+++ b/lovageridge/src/gateway/call.rs
@@ -0,0 +1,63 @@
+//! What the product goes by in requests and answers, apart from any dialect.
+
+/// What a caller's request says of itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CallFields {
+    /// Id of the request.
+    pub id: Option<String>,
+    /// Time for which the caller waits, in ms.
+    pub deadline_ms: Option<u64>,
+    /// Model.
+    pub model: Option<String>,
+    /// Adapter of the model.
+    pub adapter: Option<String>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Most tokens of the answer.
+    pub output_tokens: u64,
+    /// First part of the prompt, which many requests share.
+    pub shared_part: Option<String>,
+    /// Event after which a stream shall go on.
+    pub last_event: Option<String>,
+}
+
+/// What the product adds to a request to an upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct SendFields<'a> {
+    /// Time that the upstream has, in ms.
+    pub remaining_ms: u64,
+    /// Worker that shall take the request and no other.
+    pub worker_id: &'a str,
+    /// Urgency at the worker, 0 being the most urgent.
+    pub urgency: Option<u8>,
+    /// Event after which a stream shall go on.
+    pub last_event: Option<&'a str>,
+}
+
+/// Load of a worker as its answer tells it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LoadSeen {
+    /// Requests in progress.
+    pub running: u32,
+    /// Requests in the queue.
+    pub waiting: u32,
+}
+
+/// What the head of an upstream's answer says.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct OutcomeFields {
+    /// Id of the request that is answered.
+    pub id: Option<String>,
+    /// The worker states that it did not run the request.
+    pub not_executed: bool,
+    /// The answer bears the worker's receipt.
+    pub sealed: bool,
+    /// The body has an encoding, so it is not the worker's own.
+    pub encoded: bool,
+    /// Load of the worker.
+    pub load: Option<LoadSeen>,
+    /// Time after which the worker closes an idle connection, in ms.
+    pub idle_timeout_ms: Option<u64>,
+    /// The worker closes the connection after the answer.
+    pub closes: bool,
+}
--- /dev/null
+++ b/lovageridge/src/gateway/directory.rs
@@ -0,0 +1,318 @@
+//! Workers as this instance knows them: their records, loads, health, and what they hold.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::gateway::call::LoadSeen;
+use crate::gateway::catalog::Catalog;
+use crate::sorted::Table;
+
+pub mod choose;
+pub mod health;
+
+#[cfg(test)]
+mod tests;
+
+use crate::gateway::directory::health::Health;
+
+/// Time for which a worker whose record lapsed beside an outage of the store stays in use, in ms.
+/// Records of living workers are back two seconds after the store.
+const LAPSED_KEPT_MS: u64 = 2300;
+/// Time for which a load told by an answer counts, in ms.
+const LOAD_FRESH_MS: u64 = 1500;
+/// Time for which a worker is not asked again for a target that it said it does not hold, in ms.
+const ABSENT_MS: u64 = 400;
+/// Silence of the lead after which the workers' own records count again, in ms.
+const VIEW_STALE_MS: u64 = 3000;
+
+/// A model in the accelerator memory of a worker.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Loaded {
+    /// Model.
+    pub model: String,
+    /// Its adapters, in order.
+    pub adapters: Vec<String>,
+}
+
+/// A worker's own record.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct WorkerRecord {
+    /// Id of this start of the worker.
+    pub id: String,
+    /// Service.
+    pub service: String,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Failure domain.
+    pub domain: String,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Time until it is gone, if it leaves at short notice, in ms.
+    pub remaining_ms: Option<u64>,
+    /// Start of the worker, as Unix time in ms.
+    pub born_ms: u64,
+    /// Models in accelerator memory, by name.
+    pub models: Vec<Loaded>,
+    /// Models with a copy in host memory.
+    pub in_memory: Vec<String>,
+    /// Models with a copy on disk.
+    pub on_disk: Vec<String>,
+}
+
+/// What the lead says a worker holds.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WorkerView {
+    /// Worker.
+    pub id: String,
+    /// Start of the worker that the view is about.
+    pub born_ms: u64,
+    /// Models that may be used, by name.
+    pub models: Vec<Loaded>,
+}
+
+#[derive(Clone, Debug)]
+struct View {
+    fence: u64,
+    number: u64,
+    at_ms: u64,
+    view: WorkerView,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub struct Worker {
+    /// Its newest record.
+    pub record: WorkerRecord,
+    /// Time of the record here, in ms.
+    pub record_at_ms: u64,
+    /// Requests of this instance in progress there.
+    pub in_flight: u32,
+    /// The same by model.
+    pub in_flight_by_model: Table<String, u32>,
+    /// Health as answers show it.
+    pub health: Health,
+    load_seen: Option<(LoadSeen, u32, u64)>,
+    view: Option<View>,
+    absent: Vec<(String, Option<String>, u64)>,
+    lapsed_ms: Option<u64>,
+}
+
+/// What a record or its removal changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Nothing that matters.
+    None,
+    /// A worker is new or has started again.
+    Joined,
+    /// A worker is leaving.
+    Leaving,
+    /// A worker is gone.
+    Gone,
+    /// Something else about a worker.
+    Updated,
+}
+
+/// All workers.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    workers: Table<String, Worker>,
+}
+
+impl Directory {
+    /// Takes over a worker's record.
+    pub fn on_record(&mut self, record: WorkerRecord, now_ms: u64) -> Change {
+        let Some(worker) = self.workers.get_mut(record.id.as_str()) else {
+            let id = record.id.clone();
+            self.workers.insert(id, Worker::new(record, now_ms));
+            return Change::Joined;
+        };
+        if record.born_ms < worker.record.born_ms {
+            // A record of an earlier start says nothing of this one.
+            return Change::None;
+        }
+        if record.born_ms > worker.record.born_ms {
+            let in_flight = worker.in_flight;
+            let by_model = worker.in_flight_by_model.clone();
+            *worker = Worker::new(record, now_ms);
+            worker.in_flight = in_flight;
+            worker.in_flight_by_model = by_model;
+            return Change::Joined;
+        }
+        worker.lapsed_ms = None;
+        // A worker that has said that it leaves does not come back under this start.
+        let leaving = worker.record.leaving || record.leaving;
+        let change = match (worker.record.leaving, leaving) {
+            (false, true) => Change::Leaving,
+            _ if worker.record == record => Change::None,
+            _ => Change::Updated,
+        };
+        worker.record = WorkerRecord { leaving, ..record };
+        worker.record_at_ms = now_ms;
+        change
+    }
+
+    /// Takes over that a worker's record is gone.
+    ///
+    /// Beside an outage of the store the record of a living worker may have lapsed; the worker
+    /// then stays in use until its record would be back.
+    pub fn on_removed(&mut self, id: &str, beside_outage: bool, now_ms: u64) -> Change {
+        if !beside_outage {
+            return match self.workers.remove(id) {
+                Some(_) => Change::Gone,
+                None => Change::None,
+            };
+        }
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.lapsed_ms.get_or_insert(now_ms);
+        }
+        Change::None
+    }
+
+    /// Drops the workers whose records lapsed and did not come back; returns their ids.
+    pub fn drop_lapsed(&mut self, now_ms: u64) -> Vec<String> {
+        let mut gone = Vec::new();
+        self.workers.retain(|id, worker| {
+            let over = worker.lapsed_ms.is_some_and(|since| now_ms >= since + LAPSED_KEPT_MS);
+            if over {
+                gone.push(id.clone());
+            }
+            !over
+        });
+        gone
+    }
+
+    /// Takes over what the lead with `fence` says of a worker in its message `number`.
+    pub fn on_view(&mut self, view: WorkerView, fence: u64, number: u64, now_ms: u64) -> bool {
+        let Some(worker) = self.workers.get_mut(view.id.as_str()) else { return false };
+        if view.born_ms != worker.record.born_ms {
+            return false;
+        }
+        let newer = worker.view.as_ref().is_none_or(|v| (v.fence, v.number) < (fence, number));
+        if !newer {
+            return false;
+        }
+        let changed = worker.view.as_ref().is_none_or(|old| old.view != view);
+        worker.view = Some(View { fence, number, at_ms: now_ms, view });
+        changed
+    }
+
+    /// Returns a worker.
+    pub fn get(&self, id: &str) -> Option<&Worker> {
+        self.workers.get(id)
+    }
+
+    /// Returns a worker for changes.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Worker> {
+        self.workers.get_mut(id)
+    }
+
+    /// Iterates over all workers.
+    pub fn iter(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values()
+    }
+
+    /// Returns the number of workers.
+    pub fn len(&self) -> usize {
+        self.workers.len()
+    }
+
+    /// Tells whether no worker is known.
+    pub fn is_empty(&self) -> bool {
+        self.workers.is_empty()
+    }
+
+    /// Tells whether some worker of a service of `catalog` is known.
+    pub fn serves_any(&self, catalog: &Catalog) -> bool {
+        self.iter().any(|worker| catalog.services.contains(worker.record.service.as_str()))
+    }
+}
+
+impl Worker {
+    fn new(record: WorkerRecord, now_ms: u64) -> Self {
+        Self {
+            record,
+            record_at_ms: now_ms,
+            in_flight: 0,
+            in_flight_by_model: Table::new(),
+            health: Health::default(),
+            load_seen: None,
+            view: None,
+            absent: Vec::new(),
+            lapsed_ms: None,
+        }
+    }
+
+    /// Returns the models it holds, as the lead says or, without a lead, its own record.
+    pub fn models(&self, now_ms: u64) -> &[Loaded] {
+        match &self.view {
+            Some(view) => {
+                let lead_silent = now_ms > view.at_ms + VIEW_STALE_MS;
+                let record_newer = self.record_at_ms > view.at_ms + VIEW_STALE_MS;
+                if lead_silent && record_newer { &self.record.models } else { &view.view.models }
+            }
+            None => &self.record.models,
+        }
+    }
+
+    /// Tells whether it can serve `model` with `adapter` now.
+    pub fn holds(&self, model: &str, adapter: Option<&str>, now_ms: u64) -> bool {
+        let models = self.models(now_ms);
+        let Ok(at) = models.binary_search_by(|loaded| loaded.model.as_str().cmp(model)) else {
+            return false;
+        };
+        let has_adapter = adapter.is_none_or(|name| {
+            models[at].adapters.binary_search_by(|held| held.as_str().cmp(name)).is_ok()
+        });
+        let said_absent = self.absent.iter().any(|(m, a, until_ms)| {
+            m == model && (a.is_none() || a.as_deref() == adapter) && now_ms < *until_ms
+        });
+        has_adapter && !said_absent
+    }
+
+    /// Notes that it said it does not hold a target.
+    pub fn on_absent(&mut self, model: &str, adapter: Option<&str>, now_ms: u64) {
+        self.absent.retain(|(_, _, until_ms)| now_ms < *until_ms);
+        let until_ms = now_ms + ABSENT_MS;
+        self.absent.push((model.to_owned(), adapter.map(str::to_owned), until_ms));
+    }
+
+    /// Notes a request that goes to it.
+    pub fn on_sent(&mut self, model: Option<&str>) {
+        self.in_flight += 1;
+        if let Some(model) = model {
+            *self.in_flight_by_model.get_or_insert_with(model.to_owned(), || 0) += 1;
+        }
+    }
+
+    /// Notes that a request there has ended.
+    pub fn on_done(&mut self, model: Option<&str>) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+        let Some(model) = model else { return };
+        let left = self.in_flight_by_model.get(model).map_or(0, |count| count.saturating_sub(1));
+        if left == 0 {
+            self.in_flight_by_model.remove(model);
+        } else {
+            self.in_flight_by_model.insert(model.to_owned(), left);
+        }
+    }
+
+    /// Notes the load that an answer told.
+    pub fn on_load(&mut self, load: LoadSeen, now_ms: u64) {
+        self.load_seen = Some((load, self.in_flight, now_ms));
+    }
+
+    /// Estimates the requests there: the own ones, and the others as last told.
+    pub fn load_estimate(&self, now_ms: u64) -> u32 {
+        let others = match self.load_seen {
+            Some((load, own_then, at_ms)) if now_ms < at_ms + LOAD_FRESH_MS => {
+                (load.running + load.waiting).saturating_sub(own_then)
+            }
+            _ => 0,
+        };
+        self.in_flight + others
+    }
+}
--- /dev/null
+++ b/lovageridge/src/gateway/directory/choose.rs
@@ -0,0 +1,95 @@
+//! Choice of the worker for a request.
+
+use crate::gateway::directory::Directory;
+use crate::gateway::directory::Worker;
+
+/// Requests that a worker in another failure domain counts as more loaded by.
+const FAR_REQUESTS: f64 = 0.6;
+/// Factor on the load of a worker all of whose answers fail.
+const FAILURE_FACTOR: f64 = 24.0;
+/// Base load, so that differences between idle workers stay small.
+const BASE_REQUESTS: f64 = 1.0;
+/// Bounds of the factor that a worker's answer time gives against the average.
+const SLOWNESS_MIN: f64 = 0.5;
+/// Upper one of these bounds.
+const SLOWNESS_MAX: f64 = 8.0;
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Need<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Model, if the service has models.
+    pub model: Option<&'a str>,
+    /// Adapter of the model.
+    pub adapter: Option<&'a str>,
+    /// Failure domain of the instance.
+    pub domain: &'a str,
+    /// Workers that were tried.
+    pub tried: &'a [String],
+    /// Whether avoided workers are out of the question; a request that may run once has no
+    /// second try, but one that waits for nothing better takes what there is.
+    pub skip_avoided: bool,
+}
+
+/// Why no worker was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Lack {
+    /// No worker of the service is known and ready.
+    NoWorker,
+    /// No ready worker holds the target.
+    NotHeld,
+    /// Those that hold it are avoided or were tried.
+    NoneLeft,
+}
+
+/// Chooses a worker; `jitter` in 0..1 breaks ties between equals.
+///
+/// # Errors
+/// Returns what is lacking.
+pub fn choose<'a>(
+    directory: &'a Directory,
+    need: &Need<'_>,
+    now_ms: u64,
+    mut jitter: impl FnMut() -> f64,
+) -> Result<&'a Worker, Lack> {
+    let of_service = |worker: &&Worker| {
+        worker.record.service == need.service && !worker.record.leaving
+    };
+    let holds = |worker: &&Worker| match need.model {
+        Some(model) => worker.holds(model, need.adapter, now_ms),
+        None => true,
+    };
+    let untried = |worker: &&Worker| {
+        !need.tried.contains(&worker.record.id)
+            && !(need.skip_avoided && worker.health.is_avoided(now_ms))
+    };
+    let ready: Vec<&Worker> = directory.iter().filter(of_service).collect();
+    if ready.is_empty() {
+        return Err(Lack::NoWorker);
+    }
+    let holding: Vec<&Worker> = ready.into_iter().filter(holds).collect();
+    if holding.is_empty() {
+        return Err(Lack::NotHeld);
+    }
+    let times = holding.iter().filter_map(|worker| worker.health.first_byte_ms());
+    let (count, sum_ms) = times.fold((0.0, 0.0), |(n, sum), ms| (n + 1.0, sum + ms));
+    let average_ms = if count > 0.0 { sum_ms / count } else { 0.0 };
+    let scored = holding.into_iter().filter(untried).map(|worker| {
+        let cost = cost(worker, need.domain, average_ms, now_ms) * (1.0 + 0.05 * jitter());
+        (worker, cost)
+    });
+    let best = scored.min_by(|(_, a), (_, b)| a.total_cmp(b));
+    best.map(|(worker, _)| worker).ok_or(Lack::NoneLeft)
+}
+
+fn cost(worker: &Worker, domain: &str, average_ms: f64, now_ms: u64) -> f64 {
+    let far = if worker.record.domain == domain { 0.0 } else { FAR_REQUESTS };
+    let slowness = match worker.health.first_byte_ms() {
+        Some(ms) if average_ms > 0.0 => (ms / average_ms).clamp(SLOWNESS_MIN, SLOWNESS_MAX),
+        _ => 1.0,
+    };
+    let failures = 1.0 + FAILURE_FACTOR * worker.health.failure_share(now_ms);
+    let avoided = if worker.health.is_avoided(now_ms) { 50.0 } else { 1.0 };
+    (f64::from(worker.load_estimate(now_ms)) + BASE_REQUESTS + far) * slowness * failures * avoided
+}
--- /dev/null
+++ b/lovageridge/src/gateway/directory/health.rs
@@ -0,0 +1,74 @@
+//! Health of a worker as its answers show it, whatever its own health check says.
+
+/// Weight of the newest answer in the share of failures, in percent.
+const NEWEST_PCT: f64 = 0.15;
+/// Time in which a share of failures halves without answers, in ms.
+const FORGET_HALF_MS: f64 = 3000.0;
+/// Shortest time for which a worker that cannot be reached is avoided, in ms.
+const AVOID_MIN_MS: u64 = 250;
+/// Longest such time, in ms.
+const AVOID_MAX_MS: u64 = 2000;
+
+/// Health of one worker.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    failure_share: f64,
+    changed_ms: u64,
+    unreachable_in_row: u32,
+    avoid_until_ms: u64,
+    first_byte_ms: Option<f64>,
+}
+
+impl Health {
+    fn note(&mut self, failed: bool, now_ms: u64) {
+        self.failure_share = self.failure_share(now_ms) * (1.0 - NEWEST_PCT);
+        if failed {
+            self.failure_share += NEWEST_PCT;
+        }
+        self.changed_ms = now_ms;
+    }
+
+    /// Notes an answer that was no fault of the worker, and the time to its head.
+    pub fn on_answer(&mut self, first_byte_ms: u64, now_ms: u64) {
+        self.note(false, now_ms);
+        self.unreachable_in_row = 0;
+        self.avoid_until_ms = 0;
+        let newest = first_byte_ms as f64;
+        let average = self.first_byte_ms.unwrap_or(newest);
+        self.first_byte_ms = Some(average + (newest - average) * NEWEST_PCT);
+    }
+
+    /// Notes an answer that failed, or none.
+    pub fn on_failure(&mut self, now_ms: u64) {
+        self.note(true, now_ms);
+    }
+
+    /// Notes that the worker could not be reached or fell silent.
+    pub fn on_unreachable(&mut self, now_ms: u64) {
+        self.note(true, now_ms);
+        let wait_ms = AVOID_MIN_MS << self.unreachable_in_row.min(3);
+        self.unreachable_in_row += 1;
+        self.avoid_until_ms = now_ms + wait_ms.min(AVOID_MAX_MS);
+    }
+
+    /// Avoids the worker for `wait_ms`.
+    pub fn avoid(&mut self, wait_ms: u64, now_ms: u64) {
+        self.avoid_until_ms = self.avoid_until_ms.max(now_ms + wait_ms);
+    }
+
+    /// Tells whether the worker is better left alone now.
+    pub fn is_avoided(&self, now_ms: u64) -> bool {
+        now_ms < self.avoid_until_ms
+    }
+
+    /// Returns the share of failures, which fades with time so that the worker is tried again.
+    pub fn failure_share(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.changed_ms) as f64;
+        self.failure_share * 0.5_f64.powf(age_ms / FORGET_HALF_MS)
+    }
+
+    /// Returns the average time to the head of an answer, in ms.
+    pub fn first_byte_ms(&self) -> Option<f64> {
+        self.first_byte_ms
+    }
+}
--- /dev/null
+++ b/lovageridge/src/gateway/fleet/site.rs
@@ -0,0 +1,448 @@
+//! One model worker as the lead knows it.
+
+use std::net::SocketAddr;
+
+use crate::gateway::catalog::Engine;
+use crate::gateway::directory::Loaded;
+use crate::gateway::directory::WorkerRecord;
+use crate::gateway::directory::WorkerView;
+use crate::gateway::orders::Order;
+use crate::gateway::orders::OrderAnswer;
+use crate::gateway::orders::OrderKind;
+use crate::gateway::orders::Report;
+use crate::sorted::Table;
+
+/// Time after a conflict with an order in progress before the next try, in ms.
+const CONFLICT_RETRY_MS: u64 = 25;
+/// Conflicts in a row after which the number of accepted orders is read anew.
+const CONFLICTS_MAX: u32 = 12;
+/// Time between reports while one is needed, in ms; reports lag by some hundred ms.
+const REPORT_RETRY_MS: u64 = 120;
+/// Calls without answer in a row after which the worker no longer counts.
+const SILENT_CALLS: u32 = 2;
+/// Pause after calls without answer, in ms.
+const SILENT_RETRY_MS: u64 = 600;
+/// Added to the time of a load before its model counts as present, in ms.
+const LOAD_MARGIN_MS: u64 = 10;
+/// Time from the acceptance of an adapter's load to its use, in ms; loads take 5 to 10 ms.
+const ADAPTER_READY_MS: u64 = 14;
+/// Time for which a newly loaded model is kept for those who wait for it, in ms.
+const KEEP_NEW_MS: u64 = 600;
+/// Age of an operation from which a worker's record is held against it, in ms; records lag.
+const RECORD_LAG_MS: u64 = 2500;
+
+/// State of a model at a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HeldState {
+    /// In use.
+    Present,
+    /// Being loaded until about this time, in ms.
+    Loading {
+        /// Time.
+        due_ms: u64,
+    },
+    /// Being unloaded; its memory is free once the next order is accepted.
+    Unloading,
+}
+
+/// An adapter at a worker.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct HeldAdapter {
+    /// Time from which it can be used, in ms.
+    pub ready_ms: u64,
+    /// Time of its last use, in ms.
+    pub used_ms: u64,
+}
+
+/// A model at a worker.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// State.
+    pub state: HeldState,
+    /// Adapters.
+    pub adapters: Table<String, HeldAdapter>,
+    /// Time until which it is not given up, in ms.
+    pub keep_until_ms: u64,
+    since_ms: u64,
+}
+
+/// A load that is to be carried out at a worker, after room has been made.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Goal {
+    /// Model to load.
+    pub model: String,
+    /// Models to give up first.
+    pub evict: Vec<String>,
+    /// Time from which orders go out, in ms; instances learn of it before.
+    pub from_ms: u64,
+    /// Expected time of the load itself, in ms.
+    pub load_ms: u64,
+}
+
+/// A model worker.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// Worker.
+    pub id: String,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Service.
+    pub service: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Start of the worker, as Unix time in ms.
+    pub born_ms: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Models it holds or is loading.
+    pub held: Table<String, Held>,
+    /// Models with a copy in host memory.
+    pub in_memory: Vec<String>,
+    /// Models with a copy on disk.
+    pub on_disk: Vec<String>,
+    /// What it is to load.
+    pub goal: Option<Goal>,
+    /// Whether a call is outstanding.
+    pub calling: bool,
+    /// Time before which no call goes out, in ms.
+    pub retry_ms: u64,
+    orders_accepted: Option<u64>,
+    conflicts: u32,
+    silent_calls: u32,
+    changed_ms: u64,
+}
+
+impl Site {
+    /// Returns a worker of which only its record is known.
+    pub fn new(record: &WorkerRecord, now_ms: u64) -> Self {
+        let mut site = Self {
+            id: record.id.clone(),
+            addr: record.addr,
+            service: record.service.clone(),
+            domain: record.domain.clone(),
+            born_ms: record.born_ms,
+            leaving: record.leaving,
+            held: Table::new(),
+            in_memory: record.in_memory.clone(),
+            on_disk: record.on_disk.clone(),
+            goal: None,
+            calling: false,
+            retry_ms: 0,
+            orders_accepted: None,
+            conflicts: 0,
+            silent_calls: 0,
+            changed_ms: now_ms,
+        };
+        site.take_models(&record.models, &[], now_ms);
+        site
+    }
+
+    /// Takes over a newer record of the same start.
+    pub fn on_record(&mut self, record: &WorkerRecord, now_ms: u64) {
+        self.addr = record.addr;
+        self.leaving = record.leaving;
+        self.in_memory.clone_from(&record.in_memory);
+        self.on_disk.clone_from(&record.on_disk);
+        let settled = now_ms > self.changed_ms + RECORD_LAG_MS && self.goal.is_none();
+        if settled && !self.calling && self.differs_from(&record.models) {
+            // What was assumed of an order has not come true.
+            self.orders_accepted = None;
+        }
+    }
+
+    fn differs_from(&self, models: &[Loaded]) -> bool {
+        let same = models.len() == self.held.len()
+            && models.iter().all(|loaded| self.held.contains(loaded.model.as_str()));
+        !same
+    }
+
+    fn take_models(&mut self, models: &[Loaded], coming: &[(String, String)], now_ms: u64) {
+        let old = std::mem::take(&mut self.held);
+        for loaded in models {
+            let before = old.get(loaded.model.as_str());
+            let coming = coming.iter().filter(|(model, _)| *model == loaded.model);
+            let coming = coming.map(|(_, adapter)| adapter);
+            let adapters = loaded.adapters.iter().chain(coming).map(|name| {
+                let known = before.and_then(|held| held.adapters.get(name.as_str()));
+                let fresh = HeldAdapter { ready_ms: now_ms, used_ms: now_ms };
+                (name.clone(), known.copied().unwrap_or(fresh))
+            });
+            let held = Held {
+                state: HeldState::Present,
+                adapters: adapters.collect(),
+                keep_until_ms: before.map_or(0, |held| held.keep_until_ms),
+                since_ms: before.map_or(now_ms, |held| held.since_ms),
+            };
+            self.held.insert(loaded.model.clone(), held);
+        }
+    }
+
+    /// Tells whether it is known how many orders the worker has accepted.
+    pub fn is_known(&self) -> bool {
+        self.orders_accepted.is_some()
+    }
+
+    /// Tells whether the worker answers calls.
+    pub fn is_answering(&self) -> bool {
+        self.silent_calls < SILENT_CALLS
+    }
+
+    /// Tells whether it can take a new goal.
+    pub fn is_free(&self, now_ms: u64) -> bool {
+        self.is_known()
+            && self.is_answering()
+            && !self.leaving
+            && self.goal.is_none()
+            && self.busy_ms(now_ms) == 0
+            && !self.has_unloading()
+    }
+
+    fn has_unloading(&self) -> bool {
+        self.held.values().any(|held| held.state == HeldState::Unloading)
+    }
+
+    /// Returns the time until the load in progress is over, in ms.
+    pub fn busy_ms(&self, now_ms: u64) -> u64 {
+        let loading = self.held.values().filter_map(|held| match held.state {
+            HeldState::Loading { due_ms } => Some(due_ms.saturating_sub(now_ms)),
+            _ => None,
+        });
+        loading.max().unwrap_or(0)
+    }
+
+    /// Tells whether `model` can be used there.
+    pub fn is_present(&self, model: &str) -> bool {
+        self.held.get(model).is_some_and(|held| held.state == HeldState::Present)
+            && !self.is_evicting(model)
+    }
+
+    /// Tells whether `model` is on its way there.
+    pub fn is_coming(&self, model: &str) -> bool {
+        let loading = self.held.get(model).is_some_and(|held| {
+            matches!(held.state, HeldState::Loading { .. })
+        });
+        loading || self.goal.as_ref().is_some_and(|goal| goal.model == model)
+    }
+
+    fn is_evicting(&self, model: &str) -> bool {
+        self.goal.as_ref().is_some_and(|goal| goal.evict.iter().any(|name| name == model))
+    }
+
+    /// Returns the number of adapters there, those on their way included.
+    pub fn adapter_count(&self) -> usize {
+        self.held.values().map(|held| held.adapters.len()).sum()
+    }
+
+    /// Returns the memory that models may take; places for adapters are kept free.
+    pub fn memory_for_models_mb(engine: &Engine) -> u64 {
+        let adapter_mb = engine.models.values().map(|model| model.adapter_mb).max().unwrap_or(0);
+        engine.memory_mb.saturating_sub(adapter_mb * engine.adapter_places as u64)
+    }
+
+    /// Returns the memory left beside what it holds and is loading, in MB.
+    pub fn free_mb(&self, engine: &Engine) -> u64 {
+        let size = |name: &str| engine.models.get(name).map_or(0, |model| model.size_mb);
+        let used: u64 = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.state != HeldState::Unloading)
+            .map(|(name, _)| size(name))
+            .sum();
+        Self::memory_for_models_mb(engine).saturating_sub(used)
+    }
+
+    /// Notes the use of an adapter.
+    pub fn on_adapter_used(&mut self, model: &str, adapter: &str, now_ms: u64) {
+        let held = self.held.get_mut(model);
+        if let Some(adapter) = held.and_then(|held| held.adapters.get_mut(adapter)) {
+            adapter.used_ms = now_ms;
+        }
+    }
+
+    /// Ends loads whose time has passed; tells whether there were any.
+    pub fn finish_loads(&mut self, now_ms: u64) -> bool {
+        let mut finished = false;
+        for (_, held) in self.held.iter_mut() {
+            if matches!(held.state, HeldState::Loading { due_ms } if now_ms >= due_ms) {
+                held.state = HeldState::Present;
+                held.keep_until_ms = now_ms + KEEP_NEW_MS;
+                finished = true;
+            }
+        }
+        finished
+    }
+
+    /// Returns an order with the worker's present count.
+    pub fn order(
+        &self,
+        kind: OrderKind,
+        model: &str,
+        adapter: Option<&str>,
+        fence: u64,
+    ) -> Option<Order> {
+        Some(Order {
+            kind,
+            model: model.to_owned(),
+            adapter: adapter.map(str::to_owned),
+            expected: self.orders_accepted?,
+            fence,
+        })
+    }
+
+    /// Takes over the answer to an order; `load_ms` is the expected time if it loads a model.
+    pub fn on_answer(&mut self, order: &Order, answer: OrderAnswer, load_ms: u64, now_ms: u64) {
+        self.calling = false;
+        self.changed_ms = now_ms;
+        if answer != OrderAnswer::Unknown {
+            self.silent_calls = 0;
+        }
+        if answer != OrderAnswer::Conflict {
+            self.conflicts = 0;
+        }
+        match answer {
+            OrderAnswer::Accepted => self.on_accepted(order, load_ms, now_ms),
+            OrderAnswer::AlreadyHolds => self.on_holds(order, now_ms),
+            OrderAnswer::Conflict => self.on_conflict(now_ms),
+            OrderAnswer::Fenced => self.orders_accepted = None,
+            OrderAnswer::OtherInstance | OrderAnswer::Refused { .. } => {
+                self.orders_accepted = None;
+                self.goal = None;
+                self.retry_ms = now_ms + REPORT_RETRY_MS;
+            }
+            OrderAnswer::Unknown => self.on_silence(now_ms),
+        }
+    }
+
+    fn on_accepted(&mut self, order: &Order, load_ms: u64, now_ms: u64) {
+        self.orders_accepted = Some(order.expected + 1);
+        if order.adapter.is_some() {
+            return self.on_adapter_order(order, now_ms);
+        }
+        // The worker carries out one order at a time, so earlier unloads are over.
+        self.held.retain(|_, held| held.state != HeldState::Unloading);
+        match order.kind {
+            OrderKind::Load => {
+                let due_ms = now_ms + load_ms + LOAD_MARGIN_MS;
+                let held = Held {
+                    state: HeldState::Loading { due_ms },
+                    adapters: Table::new(),
+                    keep_until_ms: due_ms + KEEP_NEW_MS,
+                    since_ms: now_ms,
+                };
+                self.held.insert(order.model.clone(), held);
+                self.goal = None;
+            }
+            OrderKind::Unload => {
+                if let Some(held) = self.held.get_mut(order.model.as_str()) {
+                    held.state = HeldState::Unloading;
+                }
+                self.remove_eviction(&order.model);
+            }
+        }
+    }
+
+    fn on_adapter_order(&mut self, order: &Order, now_ms: u64) {
+        let Some(held) = self.held.get_mut(order.model.as_str()) else { return };
+        let Some(adapter) = &order.adapter else { return };
+        match order.kind {
+            OrderKind::Load => {
+                let entry = HeldAdapter { ready_ms: now_ms + ADAPTER_READY_MS, used_ms: now_ms };
+                held.adapters.insert(adapter.clone(), entry);
+            }
+            OrderKind::Unload => {
+                held.adapters.remove(adapter.as_str());
+            }
+        }
+    }
+
+    fn on_holds(&mut self, order: &Order, now_ms: u64) {
+        match (&order.adapter, order.kind) {
+            (Some(_), kind) => {
+                if kind == OrderKind::Unload {
+                    // An adapter that is not in use goes at once, which counts as an order.
+                    self.orders_accepted = Some(order.expected + 1);
+                }
+                self.on_adapter_order(order, now_ms);
+            }
+            (None, OrderKind::Load) => {
+                let held = Held {
+                    state: HeldState::Present,
+                    adapters: Table::new(),
+                    keep_until_ms: now_ms + KEEP_NEW_MS,
+                    since_ms: now_ms,
+                };
+                self.held.get_or_insert_with(order.model.clone(), || held);
+                self.goal = None;
+            }
+            (None, OrderKind::Unload) => {
+                self.held.remove(order.model.as_str());
+                self.remove_eviction(&order.model);
+            }
+        }
+    }
+
+    fn remove_eviction(&mut self, model: &str) {
+        if let Some(goal) = &mut self.goal {
+            goal.evict.retain(|name| name != model);
+        }
+    }
+
+    fn on_conflict(&mut self, now_ms: u64) {
+        self.conflicts += 1;
+        let busy_ms = self.busy_ms(now_ms);
+        self.retry_ms = now_ms + busy_ms.clamp(CONFLICT_RETRY_MS, REPORT_RETRY_MS);
+        let explained = self.has_unloading() || busy_ms > 0;
+        if !explained || self.conflicts % CONFLICTS_MAX == 0 {
+            self.orders_accepted = None;
+        }
+    }
+
+    fn on_silence(&mut self, now_ms: u64) {
+        self.silent_calls += 1;
+        if self.is_answering() {
+            // The same order goes out again; its count voids the one without answer.
+            self.retry_ms = now_ms;
+        } else {
+            self.goal = None;
+            self.orders_accepted = None;
+            self.retry_ms = now_ms + SILENT_RETRY_MS;
+        }
+    }
+
+    /// Takes over a report, or that there was none.
+    pub fn on_report(&mut self, report: Option<Report>, now_ms: u64) {
+        self.calling = false;
+        let Some(report) = report else {
+            self.silent_calls += 1;
+            self.retry_ms = now_ms + SILENT_RETRY_MS;
+            return;
+        };
+        self.silent_calls = 0;
+        if report.born_ms != 0 && report.born_ms != self.born_ms {
+            // Another start of the worker; its own record follows.
+            self.retry_ms = now_ms + SILENT_RETRY_MS;
+            return;
+        }
+        if report.busy {
+            self.retry_ms = now_ms + REPORT_RETRY_MS;
+            return;
+        }
+        self.in_memory = report.in_memory;
+        self.on_disk = report.on_disk;
+        self.take_models(&report.models, &report.coming, now_ms);
+        self.orders_accepted = Some(report.orders_accepted);
+        self.conflicts = 0;
+        self.changed_ms = now_ms;
+    }
+
+    /// Returns what instances may use there.
+    pub fn view(&self, now_ms: u64) -> WorkerView {
+        let usable = self.held.iter().filter(|(name, _)| self.is_present(name));
+        let models = usable.map(|(name, held)| {
+            let ready = held.adapters.iter().filter(|(_, adapter)| now_ms >= adapter.ready_ms);
+            let adapters = ready.map(|(adapter, _)| adapter.clone()).collect();
+            Loaded { model: name.clone(), adapters }
+        });
+        WorkerView { id: self.id.clone(), born_ms: self.born_ms, models: models.collect() }
+    }
+}
--- /dev/null
+++ b/lovageridge/src/gateway/lead.rs
@@ -0,0 +1,281 @@
+//! Which instance orders the workers: claims in the store's log under a condition.
+//!
+//! A claim is appended on condition that the log has not grown since the claimant read it, so one
+//! of several claimants succeeds. Its offset is the fencing number. The lead renews by further
+//! conditional appends; others claim once the log has stood still for the validity of a renewal.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+pub mod duty;
+
+#[cfg(test)]
+mod tests;
+
+/// Time between renewals, in ms; two may fail before others claim.
+pub const RENEW_MS: u64 = 400;
+/// Time for which a renewal holds, counted from its begin, in ms.
+pub const VALID_MS: u64 = 1200;
+/// Time between reads of the claims by an instance that does not hear the lead, in ms.
+const READ_MS: u64 = 400;
+/// Silence of the lead after which an instance reads the claims, in ms.
+const LEAD_SILENT_MS: u64 = 900;
+/// Extra wait of a successor over the lease, in ms, for timers that fire late.
+const LEASE_MARGIN_MS: u64 = 100;
+/// Time for which a lead that cannot renew goes on where workers check fencing numbers, in ms.
+const UNRENEWED_MAX_MS: u64 = 20_000;
+
+/// A record of the claims.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeadRecord {
+    /// Name of the instance.
+    pub instance_id: String,
+    /// Start of its process.
+    pub incarnation: u64,
+    /// Fencing number that is renewed; `None` in a claim.
+    pub fence: Option<u64>,
+    /// The lead gives up its claim.
+    pub released: bool,
+}
+
+/// What to do next about the claims.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Nothing.
+    Idle,
+    /// Read the claims from this offset on.
+    Read {
+        /// Offset.
+        from_offset: u64,
+    },
+    /// Append a record on condition that the log ends at this offset.
+    Append {
+        /// Record.
+        record: LeadRecord,
+        /// Offset.
+        at_offset: u64,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    fence: u64,
+    renewed_ms: u64,
+    orders_from_ms: u64,
+}
+
+/// State of the claims as one instance sees them.
+#[derive(Clone, Debug)]
+pub struct Election {
+    instance_id: String,
+    incarnation: u64,
+    lease_ms: u64,
+    stagger_ms: u64,
+    end_offset: Option<u64>,
+    // Time at which the log was first seen to end there; the true time is earlier.
+    end_seen_ms: u64,
+    last: Option<LeadRecord>,
+    read_ms: Option<u64>,
+    // Set when an append gave no answer, until a read shows what became of it.
+    unresolved: bool,
+    held: Option<Held>,
+    tried_ms: u64,
+}
+
+impl Election {
+    /// Returns the state of an instance that has read nothing; `stagger_ms` spreads claims.
+    pub fn new(
+        instance_id: impl Into<String>,
+        incarnation: u64,
+        lease_ms: u64,
+        stagger_ms: u64,
+    ) -> Self {
+        Self {
+            instance_id: instance_id.into(),
+            incarnation,
+            lease_ms,
+            stagger_ms,
+            end_offset: None,
+            end_seen_ms: 0,
+            last: None,
+            read_ms: None,
+            unresolved: false,
+            held: None,
+            tried_ms: 0,
+        }
+    }
+
+    /// Returns the fencing number while the instance leads.
+    pub fn fence(&self) -> Option<u64> {
+        self.held.map(|held| held.fence)
+    }
+
+    /// Tells whether orders may go out now.
+    ///
+    /// Where workers check fencing numbers a lead that cannot renew goes on for a while: a
+    /// successor's orders end its own at each worker.
+    pub fn may_order(&self, workers_check: bool, now_ms: u64) -> bool {
+        let valid_ms = if workers_check { UNRENEWED_MAX_MS } else { VALID_MS };
+        self.held.is_some_and(|held| {
+            now_ms >= held.orders_from_ms && now_ms < held.renewed_ms + valid_ms
+        })
+    }
+
+    /// Decides the next step; `lead_heard_ms` is when another lead was last heard.
+    pub fn step(&mut self, eligible: bool, lead_heard_ms: Option<u64>, now_ms: u64) -> Step {
+        if self.unresolved || self.end_offset.is_none() && self.held.is_none() {
+            return self.read(eligible, now_ms);
+        }
+        let Some(at_offset) = self.end_offset else { return Step::Idle };
+        if let Some(held) = self.held {
+            if now_ms < held.renewed_ms + RENEW_MS || now_ms < self.tried_ms + RENEW_MS {
+                return Step::Idle;
+            }
+            self.tried_ms = now_ms;
+            return Step::Append { record: self.record(Some(held.fence), false), at_offset };
+        }
+        if !eligible || lead_heard_ms.is_some_and(|heard| now_ms < heard + LEAD_SILENT_MS) {
+            return Step::Idle;
+        }
+        if self.read_ms.is_none_or(|read_ms| now_ms >= read_ms + READ_MS) {
+            return self.read(eligible, now_ms);
+        }
+        if now_ms < self.end_seen_ms + self.claim_wait_ms() {
+            return Step::Idle;
+        }
+        self.tried_ms = now_ms;
+        Step::Append { record: self.record(None, false), at_offset }
+    }
+
+    /// Returns the record that gives up the lead, with the offset at which it must go in.
+    pub fn release(&mut self) -> Option<(LeadRecord, u64)> {
+        let held = self.held.take()?;
+        Some((self.record(Some(held.fence), true), self.end_offset?))
+    }
+
+    fn claim_wait_ms(&self) -> u64 {
+        match &self.last {
+            // Nobody has led yet, or the last lead has said that it ended.
+            None => self.stagger_ms,
+            Some(last) if last.released => self.stagger_ms,
+            Some(_) => VALID_MS + self.stagger_ms,
+        }
+    }
+
+    fn record(&self, fence: Option<u64>, released: bool) -> LeadRecord {
+        LeadRecord {
+            instance_id: self.instance_id.clone(),
+            incarnation: self.incarnation,
+            fence,
+            released,
+        }
+    }
+
+    fn read(&mut self, eligible: bool, now_ms: u64) -> Step {
+        let due = self.read_ms.is_none_or(|read_ms| now_ms >= read_ms + READ_MS / 2);
+        if !due || (!eligible && !self.unresolved) {
+            return Step::Idle;
+        }
+        self.read_ms = Some(now_ms);
+        // The last record is read again, so that it is known who wrote it.
+        let from_offset = self.end_offset.map_or(0, |end| end.saturating_sub(1));
+        Step::Read { from_offset }
+    }
+
+    /// Takes over that the records up to `first_offset` have expired.
+    pub fn on_expired(&mut self, first_offset: u64) {
+        // The next read starts from there and shows the end.
+        self.end_offset = Some(first_offset + 1);
+        self.read_ms = None;
+    }
+
+    /// Takes over a read of the claims.
+    pub fn on_read(&mut self, end_offset: u64, records: &[(u64, LeadRecord)], now_ms: u64) {
+        let before_ms = self.end_seen_ms;
+        if self.end_offset != Some(end_offset) {
+            self.end_seen_ms = now_ms;
+        }
+        self.end_offset = Some(end_offset);
+        let (own, incarnation) = (self.instance_id.clone(), self.incarnation);
+        let is_own =
+            |record: &LeadRecord| record.instance_id == own && record.incarnation == incarnation;
+        if let Some((offset, last)) = records.last() {
+            if is_own(last) && !last.released {
+                // An append without answer has taken effect.
+                let fence = last.fence.unwrap_or(*offset);
+                if self.unresolved && self.held.is_none() {
+                    self.take(fence, now_ms, before_ms, now_ms);
+                }
+            } else if !is_own(last) {
+                self.held = None;
+            }
+            self.last = Some(last.clone());
+        }
+        self.unresolved = false;
+    }
+
+    /// Takes over what the lead itself says of its last record, so that a successor knows it
+    /// without reading.
+    pub fn on_heard(&mut self, instance_id: &str, incarnation: u64, end_offset: u64, now_ms: u64) {
+        if self.held.is_some() || self.end_offset.is_some_and(|end| end >= end_offset) {
+            return;
+        }
+        self.end_offset = Some(end_offset);
+        self.end_seen_ms = now_ms;
+        self.last = Some(LeadRecord {
+            instance_id: instance_id.to_owned(),
+            incarnation,
+            fence: None,
+            released: false,
+        });
+    }
+
+    /// Returns the end of the log as far as known.
+    pub fn end_offset(&self) -> Option<u64> {
+        self.end_offset
+    }
+
+    /// Takes over that the own record was appended; `started_ms` is when the call began.
+    pub fn on_appended(&mut self, record: &LeadRecord, offset: u64, started_ms: u64, now_ms: u64) {
+        let before_ms = self.end_seen_ms;
+        self.end_offset = Some(offset + 1);
+        self.end_seen_ms = now_ms;
+        match &mut self.held {
+            Some(held) => held.renewed_ms = started_ms,
+            None if !record.released => {
+                self.take(record.fence.unwrap_or(offset), started_ms, before_ms, now_ms);
+            }
+            None => {}
+        }
+        self.last = Some(record.clone());
+    }
+
+    /// Leads from now on; `before_ms` is when the predecessor's last record was first seen.
+    fn take(&mut self, fence: u64, renewed_ms: u64, before_ms: u64, now_ms: u64) {
+        let orders_from_ms = match &self.last {
+            None => now_ms,
+            Some(last) if last.instance_id == self.instance_id => now_ms,
+            // The predecessor may have ordered until its last renewal lapsed.
+            Some(last) if last.released => before_ms + self.lease_ms + LEASE_MARGIN_MS,
+            Some(_) => before_ms + VALID_MS + self.lease_ms + LEASE_MARGIN_MS,
+        };
+        self.held = Some(Held { fence, renewed_ms, orders_from_ms });
+    }
+
+    /// Takes over that the log has grown, so the condition did not hold.
+    pub fn on_condition_failed(&mut self, now_ms: u64) {
+        // A held claim is lost, unless the record in the way is an own one without answer.
+        self.unresolved = true;
+        self.read_ms = self.read_ms.map(|at| at.min(now_ms.saturating_sub(READ_MS)));
+    }
+
+    /// Takes over that an append gave no answer.
+    pub fn on_unknown(&mut self) {
+        self.unresolved = true;
+    }
+
+    /// Takes over that a worker or a peer has seen a higher fencing number.
+    pub fn on_superseded(&mut self) {
+        self.held = None;
+    }
+}
--- /dev/null
+++ b/lovageridge/src/gateway/lead/duty.rs
@@ -0,0 +1,158 @@
+//! Reads and appends claims of leadership in the store's log.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Method;
+
+use crate::gateway::Gateway;
+use crate::gateway::eventlog::Weight;
+use crate::gateway::fleet::Fleet;
+use crate::gateway::lead::LeadRecord;
+use crate::gateway::lead::Step;
+use crate::gateway::link::Link;
+use crate::platform::store;
+use crate::telemetry::events;
+
+/// Time between looks at the state of the claims.
+const LOOK: Duration = Duration::from_millis(50);
+/// Time for an answer of the store; less than the validity of a renewal, so that two fit in.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Takes part in the claims until the process ends.
+pub async fn run(gateway: Rc<Gateway>) {
+    let mut link = Link::new(gateway.settings.store_addr);
+    loop {
+        let now_ms = gateway.now_ms();
+        let eligible = gateway.is_ready();
+        let own = gateway.settings.instance_id.as_str();
+        let heard = gateway
+            .lead
+            .borrow()
+            .as_ref()
+            .and_then(|lead| (lead.instance_id != own).then_some(lead.at_ms));
+        let step = gateway.election.borrow_mut().step(eligible, heard, now_ms);
+        match step {
+            Step::Idle => {}
+            Step::Read { from_offset } => read(&gateway, &mut link, from_offset).await,
+            Step::Append { record, at_offset } => {
+                append(&gateway, &mut link, &record, at_offset).await;
+            }
+        }
+        note_lead(&gateway);
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+async fn read(gateway: &Gateway, link: &mut Link, from_offset: u64) {
+    let path = store::read_path(store::LEAD_TOPIC, from_offset, 0);
+    let call = link.call(Method::GET, &path, HeaderMap::new(), Bytes::new(), CALL_TIMEOUT);
+    let answer = match call.await {
+        Ok(answer) => answer,
+        Err(_) => return count(gateway, "claims", "no_answer"),
+    };
+    let now_ms = gateway.now_ms();
+    let mut election = gateway.election.borrow_mut();
+    match answer.status_code {
+        200 => match store::parse_tail(&answer.body, from_offset) {
+            Ok(tail) => {
+                let decode = |bytes: &[u8]| postcard::from_bytes::<LeadRecord>(bytes).ok();
+                let records: Vec<(u64, LeadRecord)> = tail
+                    .records
+                    .iter()
+                    .filter_map(|(offset, bytes)| Some((*offset, decode(bytes)?)))
+                    .collect();
+                election.on_read(tail.end_offset, &records, now_ms);
+                count(gateway, "claims", "ok");
+            }
+            Err(_) => count(gateway, "claims", "malformed"),
+        },
+        // The topic comes into being with its first record.
+        404 => election.on_read(0, &[], now_ms),
+        410 => match store::parse_first(&answer.body) {
+            Ok(first) => {
+                election.on_expired(first);
+                count(gateway, "claims", "expired");
+            }
+            Err(_) => count(gateway, "claims", "malformed"),
+        },
+        _ => count(gateway, "claims", "refused"),
+    }
+}
+
+async fn append(gateway: &Gateway, link: &mut Link, record: &LeadRecord, at_offset: u64) {
+    let started_ms = gateway.now_ms();
+    let path = store::append_path(store::LEAD_TOPIC, Some(at_offset));
+    let body = store::frame(&postcard::to_stdvec(record).unwrap_or_default());
+    let call = link.call(Method::POST, &path, HeaderMap::new(), Bytes::from(body), CALL_TIMEOUT);
+    let answer = call.await;
+    let now_ms = gateway.now_ms();
+    let mut election = gateway.election.borrow_mut();
+    match answer {
+        Ok(answer) if answer.status_code == 200 => {
+            match store::parse_appended(&answer.body) {
+                Ok((offset, _)) => election.on_appended(record, offset, started_ms, now_ms),
+                Err(_) => election.on_unknown(),
+            }
+            count(gateway, "claim", "ok");
+        }
+        Ok(answer) if answer.status_code == 412 => {
+            election.on_condition_failed(now_ms);
+            count(gateway, "claim", "condition");
+        }
+        // A refusal says that nothing was done.
+        Ok(_) => count(gateway, "claim", "refused"),
+        Err(_) => {
+            election.on_unknown();
+            count(gateway, "claim", "no_answer");
+        }
+    }
+}
+
+fn count(gateway: &Gateway, call: &str, result: &str) {
+    gateway.metrics.store_calls_total.with_label_values(&[call, result]).inc();
+}
+
+/// Starts or ends the state of the model workers with the lead.
+fn note_lead(gateway: &Gateway) {
+    let fence = gateway.election.borrow().fence();
+    let leads = gateway.fleet.borrow().as_ref().map(Fleet::fence);
+    if fence == leads {
+        return;
+    }
+    let line = match fence {
+        Some(fence) => {
+            gateway.log.line(events::LEAD_GAINED, Weight::Notable).number("fence", fence)
+        }
+        None => gateway.log.line(events::LEAD_LOST, Weight::Notable),
+    };
+    line.close();
+    gateway.metrics.leads.set(i64::from(fence.is_some()));
+    *gateway.fleet.borrow_mut() = fence.map(|fence| new_fleet(gateway, fence));
+    gateway.fleet_due.notify_one();
+    gateway.demand_due.notify_one();
+}
+
+fn new_fleet(gateway: &Gateway, fence: u64) -> Fleet {
+    let mut fleet = Fleet::new(fence);
+    let now_ms = gateway.now_ms();
+    let Some(catalog) = gateway.catalog() else { return fleet };
+    for worker in gateway.directory.borrow().iter() {
+        if catalog.engine(&worker.record.service).is_some() {
+            fleet.on_record(&worker.record, now_ms);
+        }
+    }
+    fleet
+}
+
+/// Gives up the lead, so that another instance need not wait for it to lapse.
+pub async fn release(gateway: &Gateway) {
+    let released = gateway.election.borrow_mut().release();
+    note_lead(gateway);
+    if let Some((record, at_offset)) = released {
+        let mut link = Link::new(gateway.settings.store_addr);
+        append(gateway, &mut link, &record, at_offset).await;
+    }
+}
--- /dev/null
+++ b/lovageridge/src/gateway/link.rs
@@ -0,0 +1,153 @@
+//! Connections to upstreams, workers and the store.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Body of requests that the product sends.
+pub type SendBody = Full<Bytes>;
+
+/// Time after which unacknowledged data ends a connection, so that a silent peer is noticed.
+const USER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// Idle time after which a connection is probed.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
+/// Time between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Largest answer of a call whose body is read as a whole, in bytes.
+const ANSWER_MAX_BYTES: usize = 8 << 20;
+
+/// Why a call gave no usable answer.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No connection could be had; nothing was sent.
+    #[error("no connection: {0}")]
+    Connect(String),
+    /// The call may have arrived.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+}
+
+/// An answer whose body has been read.
+#[derive(Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status_code: u16,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Opens a connection to `addr`.
+///
+/// # Errors
+/// Returns why there is none; nothing has been sent then.
+pub async fn dial(
+    addr: SocketAddr,
+    connect_timeout: Duration,
+) -> Result<SendRequest<SendBody>, Error> {
+    let connecting = timeout(connect_timeout, TcpStream::connect(addr));
+    let stream = match connecting.await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(Error::Connect(error.to_string())),
+        Err(_) => return Err(Error::Connect("timed out".to_owned())),
+    };
+    tune(&stream).map_err(|error| Error::Connect(error.to_string()))?;
+    let (sender, connection) = http1::Builder::new()
+        .handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| Error::Connect(error.to_string()))?;
+    // The outcome of each call is reported by the call itself.
+    tokio::task::spawn_local(async move {
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// Sets the options that make a silent peer end the connection.
+pub fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(2);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
+/// A kept connection for calls one after another, opened again when it is lost.
+#[derive(Debug)]
+pub struct Link {
+    addr: SocketAddr,
+    sender: Option<SendRequest<SendBody>>,
+}
+
+impl Link {
+    /// Returns a link that connects at its first call.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self { addr, sender: None }
+    }
+
+    /// Makes a call and reads its whole answer; a call without answer drops the connection.
+    ///
+    /// # Errors
+    /// Returns whether the call may have arrived.
+    pub async fn call(
+        &mut self,
+        method: Method,
+        path: &str,
+        headers: HeaderMap,
+        body: Bytes,
+        limit: Duration,
+    ) -> Result<Answer, Error> {
+        let kept = self.sender.take();
+        let calling = exchange(self.addr, kept, method, path, headers, body, limit);
+        let (answer, sender) = match timeout(limit, calling).await {
+            Ok(result) => result?,
+            Err(_) => return Err(Error::NoAnswer("timed out".to_owned())),
+        };
+        self.sender = Some(sender);
+        Ok(answer)
+    }
+}
+
+async fn exchange(
+    addr: SocketAddr,
+    kept: Option<SendRequest<SendBody>>,
+    method: Method,
+    path: &str,
+    headers: HeaderMap,
+    body: Bytes,
+    limit: Duration,
+) -> Result<(Answer, SendRequest<SendBody>), Error> {
+    let mut sender = match kept {
+        Some(sender) if sender.is_ready() => sender,
+        _ => dial(addr, limit).await?,
+    };
+    let mut request = Request::new(Full::new(body));
+    *request.method_mut() = method;
+    *request.uri_mut() = path.parse().map_err(|_| Error::Connect(format!("path {path:?}")))?;
+    *request.headers_mut() = headers;
+    let host = hyper::header::HeaderValue::from_str(&addr.to_string())
+        .map_err(|error| Error::Connect(error.to_string()))?;
+    request.headers_mut().insert(hyper::header::HOST, host);
+    let no_answer = |error: hyper::Error| Error::NoAnswer(error.to_string());
+    let response = sender.send_request(request).await.map_err(no_answer)?;
+    let status_code = response.status().as_u16();
+    let body = Limited::new(response.into_body(), ANSWER_MAX_BYTES).collect().await;
+    let body = body.map_err(|error| Error::NoAnswer(error.to_string()))?.to_bytes();
+    Ok((Answer { status_code, body }, sender))
+}
--- /dev/null
+++ b/lovageridge/src/gateway/metrics.rs
@@ -0,0 +1,133 @@
+//! Counters and latency histograms of the gateway.
+
+use prometheus::Encoder;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Upper bounds of latency buckets in seconds; the objectives of known routes lie among them.
+const LATENCY_BUCKETS_S: [f64; 12] =
+    [0.005, 0.02, 0.05, 0.1, 0.15, 0.3, 0.4, 0.5, 1.0, 3.0, 10.0, 30.0];
+
+/// Metrics of one gateway instance.
+pub struct GatewayMetrics {
+    registry: Registry,
+    /// Requests by route and outcome.
+    pub requests_total: IntCounterVec,
+    /// Time to the head of the answer, by route, in seconds.
+    pub first_byte_s: HistogramVec,
+    /// Sends to upstreams by service and result.
+    pub sends_total: IntCounterVec,
+    /// Repeated sends refused by the budget, by service.
+    pub budget_refused_total: IntCounterVec,
+    /// Waits for a model that no worker held, in seconds.
+    pub cold_wait_s: HistogramVec,
+    /// Orders to workers by kind and answer.
+    pub orders_total: IntCounterVec,
+    /// Calls to the store by call and result.
+    pub store_calls_total: IntCounterVec,
+    /// Records that could not be read, by topic.
+    pub bad_records_total: IntCounterVec,
+    /// Datagrams to peers that could not be sent or read.
+    pub datagrams_dropped_total: IntCounter,
+    /// Requests in progress.
+    pub in_progress: IntGauge,
+    /// Version of the configuration in force.
+    pub config_version: IntGauge,
+    /// Workers known.
+    pub workers: IntGauge,
+    /// 1 while the instance leads.
+    pub leads: IntGauge,
+    /// Lines of the structured log that were dropped.
+    pub log_lines_dropped: IntGauge,
+}
+
+impl GatewayMetrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    /// Returns the registry's complaint about a metric.
+    pub fn new() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| {
+            let counter = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
+        let histograms = |name: &str, help: &str, labels: &[&str]| {
+            let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
+            let histogram = HistogramVec::new(options, labels)?;
+            registry.register(Box::new(histogram.clone()))?;
+            Ok::<_, prometheus::Error>(histogram)
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help)?;
+            registry.register(Box::new(gauge.clone()))?;
+            Ok::<_, prometheus::Error>(gauge)
+        };
+        let dropped = IntCounter::new("gateway_datagrams_dropped_total", "Datagrams lost here")?;
+        registry.register(Box::new(dropped.clone()))?;
+        Ok(Self {
+            requests_total: counters(
+                "gateway_requests_total",
+                "Requests by route and outcome",
+                &["route", "outcome"],
+            )?,
+            first_byte_s: histograms(
+                "gateway_first_byte_seconds",
+                "Time to the head of the answer",
+                &["route"],
+            )?,
+            sends_total: counters(
+                "gateway_sends_total",
+                "Sends to upstreams",
+                &["service", "result"],
+            )?,
+            budget_refused_total: counters(
+                "gateway_budget_refused_total",
+                "Repeated sends refused by the budget",
+                &["service"],
+            )?,
+            cold_wait_s: histograms(
+                "gateway_cold_wait_seconds",
+                "Waits for a model that no worker held",
+                &["route"],
+            )?,
+            orders_total: counters(
+                "gateway_orders_total",
+                "Orders to workers",
+                &["kind", "answer"],
+            )?,
+            store_calls_total: counters(
+                "gateway_store_calls_total",
+                "Calls to the store",
+                &["call", "result"],
+            )?,
+            bad_records_total: counters(
+                "gateway_bad_records_total",
+                "Records that could not be read",
+                &["topic"],
+            )?,
+            datagrams_dropped_total: dropped,
+            in_progress: gauge("gateway_requests_in_progress", "Requests in progress")?,
+            config_version: gauge("gateway_config_version", "Version in force")?,
+            workers: gauge("gateway_workers", "Workers known")?,
+            leads: gauge("gateway_leads", "1 while the instance leads")?,
+            log_lines_dropped: gauge("gateway_log_lines_dropped", "Log lines dropped")?,
+            registry,
+        })
+    }
+
+    /// Returns all metrics as text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        // Encoding into memory fails only for metrics without a name, which do not register.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        text
+    }
+}
--- /dev/null
+++ b/lovageridge/src/gateway/peers.rs
@@ -0,0 +1,229 @@
+//! Messages between gateway instances and the view of who is there.
+//!
+//! Datagrams carry beats, demand and residency; a snapshot of the store's records goes over TCP
+//! to an instance that cannot reach the store.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::gateway::directory::WorkerView;
+use crate::sorted::Table;
+
+pub mod duty;
+
+#[cfg(test)]
+mod tests;
+
+/// Silence after which a peer no longer counts, in ms.
+const PEER_GONE_MS: u64 = 4000;
+
+/// How new the records are that an instance has read from the store.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Progress {
+    /// Version of the configuration in force.
+    pub config_version: u64,
+    /// End of the operator's records.
+    pub operator_end: u64,
+    /// End of the workers' records.
+    pub workers_end: u64,
+}
+
+/// The lead as an instance knows it.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeadSeen {
+    /// Fencing number of its claim.
+    pub fence: u64,
+    /// Time since it was heard, in ms.
+    pub age_ms: u64,
+}
+
+/// A target that requests wait for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Want {
+    /// Service.
+    pub service: String,
+    /// Model.
+    pub model: String,
+    /// Adapter of the model.
+    pub adapter: Option<String>,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Time within which the most urgent of them still meets its objective, in ms; none has any
+    /// left when this is 0.
+    pub slack_ms: u64,
+    /// Workers that hold the target but cannot be reached from there.
+    pub unreachable: Vec<String>,
+}
+
+/// Use of a target since the last message.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Use {
+    /// Service.
+    pub service: String,
+    /// Model.
+    pub model: String,
+    /// Adapter of the model.
+    pub adapter: Option<String>,
+    /// Requests that arrived.
+    pub arrivals: u32,
+}
+
+/// Requests in progress of a model at a worker.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Running {
+    /// Worker.
+    pub worker: String,
+    /// Model.
+    pub model: String,
+    /// Requests in progress.
+    pub count: u32,
+}
+
+/// What an instance's callers want, for the lead.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Demand {
+    /// Targets that requests wait for; replaces what was said before.
+    pub wants: Vec<Want>,
+    /// Targets used since the last message.
+    pub uses: Vec<Use>,
+    /// Requests in progress; replaces what was said before.
+    pub running: Vec<Running>,
+}
+
+/// What the lead says that workers hold.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Residency {
+    /// Fencing number of the lead's claim.
+    pub fence: u64,
+    /// Number of the message; higher ones replace lower ones.
+    pub number: u64,
+    /// End of the claims in the store's log.
+    pub claims_end: u64,
+    /// Workers, not always all of them.
+    pub workers: Vec<WorkerView>,
+}
+
+/// Content of a datagram.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Content {
+    /// The sender lives; asks for a beat back when `ask` is set.
+    Beat {
+        /// Whether the receiver shall answer.
+        ask: bool,
+    },
+    /// Demand of the sender's callers.
+    Demand(Demand),
+    /// What workers hold.
+    Residency(Residency),
+}
+
+/// A datagram.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Message {
+    /// Name of the sender.
+    pub from: String,
+    /// Start of the sender's process.
+    pub incarnation: u64,
+    /// What the sender has read from the store.
+    pub progress: Progress,
+    /// The lead as the sender knows it.
+    pub lead: Option<LeadSeen>,
+    /// Content.
+    pub content: Content,
+}
+
+/// Records of the store, for an instance that cannot reach it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Snapshot {
+    /// Configuration as it lies in the store.
+    pub config: Vec<u8>,
+    /// What the records cover.
+    pub progress: Progress,
+    /// Records of workers by id.
+    pub workers: Vec<(String, Vec<u8>)>,
+}
+
+/// Another instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// Address of its port for peers.
+    pub addr: SocketAddr,
+    /// Start of its process.
+    pub incarnation: u64,
+    /// Time it was last heard, in ms; `None` when it is only known by name.
+    pub heard_ms: Option<u64>,
+    /// What it has read from the store.
+    pub progress: Progress,
+}
+
+/// The other instances.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    peers: Table<String, Peer>,
+}
+
+impl Peers {
+    /// Notes an announced address.
+    pub fn on_announced(&mut self, name: &str, addr: SocketAddr, incarnation: u64) {
+        let known = self.peers.get(name).is_some_and(|peer| peer.incarnation >= incarnation);
+        if !known {
+            let peer = Peer { addr, incarnation, heard_ms: None, progress: Progress::default() };
+            self.peers.insert(name.to_owned(), peer);
+        }
+    }
+
+    /// Notes a datagram.
+    pub fn on_message(&mut self, message: &Message, addr: SocketAddr, now_ms: u64) {
+        let older = self.peers.get(message.from.as_str());
+        if older.is_some_and(|peer| peer.incarnation > message.incarnation) {
+            return;
+        }
+        let peer = Peer {
+            addr,
+            incarnation: message.incarnation,
+            heard_ms: Some(now_ms),
+            progress: message.progress,
+        };
+        self.peers.insert(message.from.clone(), peer);
+    }
+
+    /// Returns all known peers.
+    pub fn iter(&self) -> impl Iterator<Item = (&String, &Peer)> {
+        self.peers.iter()
+    }
+
+    /// Returns the peers heard lately.
+    pub fn living(&self, now_ms: u64) -> impl Iterator<Item = (&String, &Peer)> {
+        self.peers.iter().filter(move |(_, peer)| {
+            peer.heard_ms.is_some_and(|heard_ms| now_ms <= heard_ms + PEER_GONE_MS)
+        })
+    }
+
+    /// Returns the number of instances that live, the own one included.
+    pub fn instance_count(&self, now_ms: u64) -> u64 {
+        self.living(now_ms).count() as u64 + 1
+    }
+
+    /// Returns a living peer that has read more of the store than `own`.
+    pub fn ahead_of(&self, own: Progress, now_ms: u64) -> Option<(&String, &Peer)> {
+        let is_ahead = |peer: &Peer| {
+            peer.progress.operator_end > own.operator_end
+                || peer.progress.workers_end > own.workers_end
+        };
+        let ahead = self.living(now_ms).filter(|(_, peer)| is_ahead(peer));
+        ahead.max_by_key(|(_, peer)| (peer.progress.config_version, peer.progress.workers_end))
+    }
+}
+
+/// Encodes a datagram.
+pub fn encode(message: &Message) -> Vec<u8> {
+    // Messages consist of plain values, which always encode.
+    postcard::to_stdvec(message).unwrap_or_default()
+}
+
+/// Decodes a datagram.
+pub fn decode(bytes: &[u8]) -> Option<Message> {
+    postcard::from_bytes(bytes).ok()
+}
--- /dev/null
+++ b/lovageridge/src/gateway/peers/duty.rs
@@ -0,0 +1,356 @@
+//! Beats, demand and snapshots between instances.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::HeaderMap;
+use hyper::Method;
+use rand::seq::IteratorRandom;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::gateway::Gateway;
+use crate::gateway::LeadHeard;
+use crate::gateway::eventlog::Weight;
+use crate::gateway::link::Link;
+use crate::gateway::peers;
+use crate::gateway::peers::Content;
+use crate::gateway::peers::Demand;
+use crate::gateway::peers::LeadSeen;
+use crate::gateway::peers::Message;
+use crate::gateway::peers::Residency;
+use crate::gateway::peers::Running;
+use crate::gateway::peers::Snapshot;
+use crate::gateway::sync;
+use crate::gateway::waits::Target;
+use crate::platform::store;
+use crate::telemetry::events;
+
+/// Time between beats, in ms.
+const BEAT_MS: u64 = 500;
+/// Peers that get each beat; news reaches every instance within a few beats.
+const BEAT_PEERS: usize = 3;
+/// Time between reads of the announced addresses while no peer is heard, in ms.
+const ALONE_READ_MS: u64 = 3000;
+/// Time for a call to the store.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time for a snapshot from a peer.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Largest snapshot, in bytes.
+const SNAPSHOT_MAX_BYTES: u64 = 16 << 20;
+/// Time between reports of demand to the lead, in ms.
+const DEMAND_MS: u64 = 200;
+/// Time by which requests that begin to wait are told together, in ms.
+const DEMAND_GATHER_MS: u64 = 2;
+/// Largest datagram, in bytes.
+const DATAGRAM_MAX_BYTES: usize = 64 << 10;
+/// Silence after which a lead is no longer told to peers, in ms.
+const LEAD_TOLD_MS: u64 = 4000;
+
+#[derive(Deserialize, Serialize)]
+struct Announcement {
+    addr: SocketAddr,
+    incarnation: u64,
+}
+
+/// Sends a message to a peer.
+pub fn send(gateway: &Gateway, to: SocketAddr, content: Content) {
+    let bytes = peers::encode(&message(gateway, content));
+    send_bytes(gateway, to, &bytes);
+}
+
+/// Sends an encoded message to a peer; a datagram that is lost is made up for by a later one.
+pub fn send_bytes(gateway: &Gateway, to: SocketAddr, bytes: &[u8]) {
+    if gateway.socket.try_send_to(bytes, to).is_err() {
+        gateway.metrics.datagrams_dropped_total.inc();
+    }
+}
+
+/// Returns a message with what the instance knows.
+pub fn message(gateway: &Gateway, content: Content) -> Message {
+    let now_ms = gateway.now_ms();
+    let lead = gateway.lead.borrow();
+    let lead = lead.as_ref().filter(|lead| now_ms <= lead.at_ms + LEAD_TOLD_MS);
+    let seen = lead.map(|lead| LeadSeen { fence: lead.fence, age_ms: now_ms - lead.at_ms });
+    Message {
+        from: gateway.settings.instance_id.clone(),
+        incarnation: gateway.incarnation,
+        progress: gateway.store.borrow().progress,
+        lead: seen,
+        content,
+    }
+}
+
+/// Receives datagrams until the process ends.
+pub async fn run_receiver(gateway: Rc<Gateway>) {
+    let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
+    loop {
+        let Ok((len, from)) = gateway.socket.recv_from(&mut buffer).await else {
+            gateway.metrics.datagrams_dropped_total.inc();
+            tokio::time::sleep(Duration::from_millis(DEMAND_GATHER_MS)).await;
+            continue;
+        };
+        match peers::decode(&buffer[..len]) {
+            Some(message) => on_message(&gateway, message, from),
+            None => gateway.metrics.datagrams_dropped_total.inc(),
+        }
+    }
+}
+
+fn on_message(gateway: &Rc<Gateway>, message: Message, from: SocketAddr) {
+    if message.from == gateway.settings.instance_id {
+        return;
+    }
+    let now_ms = gateway.now_ms();
+    gateway.peers.borrow_mut().on_message(&message, from, now_ms);
+    if let Some(seen) = message.lead {
+        yield_to(gateway, seen.fence);
+    }
+    match message.content {
+        Content::Beat { ask } => {
+            if ask {
+                send(gateway, from, Content::Beat { ask: false });
+            }
+        }
+        Content::Demand(demand) => {
+            if let Some(fleet) = gateway.fleet.borrow_mut().as_mut() {
+                fleet.on_demand(&message.from, demand, now_ms);
+            }
+            gateway.fleet_due.notify_one();
+        }
+        Content::Residency(residency) => {
+            on_residency(gateway, &message.from, message.incarnation, residency, from);
+        }
+    }
+}
+
+/// Gives up the lead when another one has a higher fencing number.
+fn yield_to(gateway: &Gateway, fence: u64) {
+    let own = gateway.election.borrow().fence();
+    if own.is_some_and(|own| own < fence) {
+        gateway.election.borrow_mut().on_superseded();
+        gateway.fleet_due.notify_one();
+    }
+}
+
+fn on_residency(
+    gateway: &Gateway,
+    name: &str,
+    incarnation: u64,
+    residency: Residency,
+    from: SocketAddr,
+) {
+    let now_ms = gateway.now_ms();
+    let known = gateway.lead.borrow().as_ref().map(|lead| lead.fence);
+    if known.is_some_and(|fence| fence > residency.fence) {
+        return;
+    }
+    yield_to(gateway, residency.fence);
+    if known != Some(residency.fence) {
+        let line = gateway.log.line(events::LEAD_HEARD, Weight::Notable);
+        line.text("lead", name).number("fence", residency.fence).close();
+    }
+    *gateway.lead.borrow_mut() = Some(LeadHeard {
+        instance_id: name.to_owned(),
+        fence: residency.fence,
+        addr: Some(from),
+        at_ms: now_ms,
+    });
+    let mut election = gateway.election.borrow_mut();
+    election.on_heard(name, incarnation, residency.claims_end, now_ms);
+    drop(election);
+    let mut changed = false;
+    let mut directory = gateway.directory.borrow_mut();
+    for view in residency.workers {
+        changed |= directory.on_view(view, residency.fence, residency.number, now_ms);
+    }
+    drop(directory);
+    if changed {
+        gateway.changed.notify_waiters();
+    }
+}
+
+/// Announces the instance and sends beats until the process ends.
+pub async fn run_beats(gateway: Rc<Gateway>) {
+    let mut link = Link::new(gateway.settings.store_addr);
+    let mut announced = false;
+    let mut read_ms: Option<u64> = None;
+    loop {
+        let now_ms = gateway.now_ms();
+        let alone = gateway.peers.borrow().living(now_ms).next().is_none();
+        let read_due = read_ms.is_none_or(|at| alone && now_ms >= at + ALONE_READ_MS);
+        if !announced {
+            announced = announce(&gateway, &mut link).await;
+        }
+        if read_due {
+            read_ms = Some(now_ms);
+            read_announced(&gateway, &mut link).await;
+            let seeds = gateway.settings.seeds.iter();
+            let others = seeds.filter(|addr| **addr != gateway.settings.peers_addr);
+            others.for_each(|addr| send(&gateway, *addr, Content::Beat { ask: true }));
+        }
+        beat(&gateway);
+        take_from_peer(&gateway).await;
+        sync::drop_lapsed(&gateway);
+        gateway.pool.borrow_mut().expire(now_ms);
+        tokio::time::sleep(Duration::from_millis(BEAT_MS)).await;
+    }
+}
+
+async fn announce(gateway: &Gateway, link: &mut Link) -> bool {
+    let text = Announcement {
+        addr: gateway.settings.peers_addr,
+        incarnation: gateway.incarnation,
+    };
+    let value = postcard::to_stdvec(&text).unwrap_or_default();
+    let body = store::frame_keyed(&gateway.settings.instance_id, &value);
+    let path = store::append_path(store::PEERS_TOPIC, None);
+    let call = link.call(Method::POST, &path, HeaderMap::new(), Bytes::from(body), STORE_TIMEOUT);
+    let done = call.await.is_ok_and(|answer| answer.status_code == 200);
+    let result = if done { "ok" } else { "failed" };
+    gateway.metrics.store_calls_total.with_label_values(&["announce", result]).inc();
+    done
+}
+
+async fn read_announced(gateway: &Gateway, link: &mut Link) {
+    let path = store::newest_path(store::PEERS_TOPIC, None);
+    let call = link.call(Method::GET, &path, HeaderMap::new(), Bytes::new(), STORE_TIMEOUT);
+    let page = match call.await {
+        Ok(answer) if answer.status_code == 200 => store::parse_newest(&answer.body).ok(),
+        _ => None,
+    };
+    let result = if page.is_some() { "ok" } else { "failed" };
+    gateway.metrics.store_calls_total.with_label_values(&["peers", result]).inc();
+    let mut addrs = Vec::new();
+    for record in page.map(|page| page.records).unwrap_or_default() {
+        let Ok(text) = postcard::from_bytes::<Announcement>(&record.value) else { continue };
+        if record.key != gateway.settings.instance_id {
+            let mut peers = gateway.peers.borrow_mut();
+            peers.on_announced(&record.key, text.addr, text.incarnation);
+            addrs.push(text.addr);
+        }
+    }
+    for addr in addrs {
+        send(gateway, addr, Content::Beat { ask: true });
+    }
+}
+
+/// Sends a beat to a few peers, one of them perhaps only known by name.
+fn beat(gateway: &Gateway) {
+    let now_ms = gateway.now_ms();
+    let peers = gateway.peers.borrow();
+    let mut rng = rand::rng();
+    let mut addrs: Vec<SocketAddr> =
+        peers.living(now_ms).map(|(_, peer)| peer.addr).choose_multiple(&mut rng, BEAT_PEERS);
+    addrs.extend(peers.iter().map(|(_, peer)| peer.addr).choose(&mut rng));
+    addrs.sort_unstable();
+    addrs.dedup();
+    drop(peers);
+    for addr in addrs {
+        send(gateway, addr, Content::Beat { ask: true });
+    }
+}
+
+/// Takes the store's records from a peer while the store cannot be reached.
+async fn take_from_peer(gateway: &Gateway) {
+    let now_ms = gateway.now_ms();
+    let lacking = gateway.catalog().is_none() || gateway.store.borrow().is_away();
+    if !lacking {
+        return;
+    }
+    let own = gateway.store.borrow().progress;
+    let ahead = gateway.peers.borrow().ahead_of(own, now_ms).map(|(n, p)| (n.clone(), p.addr));
+    let Some((name, addr)) = ahead else { return };
+    let Ok(Some(snapshot)) = timeout(SNAPSHOT_TIMEOUT, fetch_snapshot(addr)).await else { return };
+    let line = gateway.log.line(events::RECORDS_FROM_PEER, Weight::Notable);
+    line.text("peer", name)
+        .number("config_version", snapshot.progress.config_version)
+        .number("workers_end", snapshot.progress.workers_end)
+        .close();
+    sync::apply_snapshot(gateway, &snapshot);
+}
+
+async fn fetch_snapshot(addr: SocketAddr) -> Option<Snapshot> {
+    let stream = TcpStream::connect(addr).await.ok()?;
+    let mut bytes = Vec::new();
+    stream.take(SNAPSHOT_MAX_BYTES).read_to_end(&mut bytes).await.ok()?;
+    postcard::from_bytes(&bytes).ok()
+}
+
+/// Hands snapshots to peers until the process ends.
+pub async fn run_snapshots(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        let Ok((mut stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(DEMAND_GATHER_MS)).await;
+            continue;
+        };
+        let bytes = postcard::to_stdvec(&sync::snapshot(&gateway)).unwrap_or_default();
+        tokio::task::spawn_local(async move {
+            // A peer that went away asks again.
+            let sending = async {
+                stream.write_all(&bytes).await?;
+                stream.shutdown().await
+            };
+            let _ = timeout(SNAPSHOT_TIMEOUT, sending).await;
+        });
+    }
+}
+
+/// Tells the lead what callers want, at once when requests begin to wait.
+pub async fn run_demand(gateway: Rc<Gateway>) {
+    loop {
+        let period = Duration::from_millis(DEMAND_MS);
+        if timeout(period, gateway.demand_due.notified()).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(DEMAND_GATHER_MS)).await;
+        }
+        tell_demand(&gateway);
+    }
+}
+
+fn tell_demand(gateway: &Gateway) {
+    let now_ms = gateway.now_ms();
+    let leads = gateway.election.borrow().fence().is_some();
+    let to = gateway.lead.borrow().as_ref().and_then(|lead| lead.addr);
+    if !leads && to.is_none() {
+        return;
+    }
+    let demand = demand(gateway, now_ms);
+    if leads {
+        if let Some(fleet) = gateway.fleet.borrow_mut().as_mut() {
+            fleet.on_demand(&gateway.settings.instance_id, demand, now_ms);
+        }
+        gateway.fleet_due.notify_one();
+    } else if let Some(to) = to {
+        send(gateway, to, Content::Demand(demand));
+    }
+}
+
+fn demand(gateway: &Gateway, now_ms: u64) -> Demand {
+    let directory = gateway.directory.borrow();
+    let unreachable = |target: &Target| {
+        let holding = directory.iter().filter(|worker| {
+            worker.record.service == target.service
+                && worker.health.is_avoided(now_ms)
+                && worker.holds(&target.model, None, now_ms)
+        });
+        holding.map(|worker| worker.record.id.clone()).collect()
+    };
+    let running = directory.iter().flat_map(|worker| {
+        worker.in_flight_by_model.iter().map(|(model, count)| Running {
+            worker: worker.record.id.clone(),
+            model: model.clone(),
+            count: *count,
+        })
+    });
+    let running = running.collect();
+    let mut waits = gateway.waits.borrow_mut();
+    let wants = waits.wants(unreachable, now_ms);
+    Demand { wants, uses: waits.take_uses(), running }
+}
--- /dev/null
+++ b/lovageridge/src/gateway/run.rs
@@ -0,0 +1,140 @@
+//! Starts the duties of an instance and ends it gracefully.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::task::LocalSet;
+
+use crate::clock::Clock;
+use crate::gateway::Gateway;
+use crate::gateway::eventlog::EventLog;
+use crate::gateway::eventlog::Weight;
+use crate::gateway::fleet;
+use crate::gateway::lead;
+use crate::gateway::metrics::GatewayMetrics;
+use crate::gateway::peers;
+use crate::gateway::serve;
+use crate::gateway::settings::GatewaySettings;
+use crate::gateway::sync;
+use crate::telemetry::events;
+
+/// Time for which a stopping instance takes new requests, in ms: the balancer asks once a second
+/// and goes by the second miss.
+const LINGER_MS: u64 = 2600;
+/// Time before the kill at which what is left is given up, in ms.
+const GRACE_MARGIN_MS: u64 = 300;
+/// Time between looks for requests in progress.
+const DRAIN_LOOK: Duration = Duration::from_millis(25);
+/// Time for the last bytes of answers to leave.
+const FLUSH: Duration = Duration::from_millis(60);
+
+/// Why an instance could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// A port could not be opened.
+    #[error("cannot listen on {addr}: {source}")]
+    Listen {
+        /// Address.
+        addr: SocketAddr,
+        /// Error of the system.
+        source: std::io::Error,
+    },
+    /// The runtime, a thread or a signal could not be had.
+    #[error("cannot start: {0}")]
+    Start(#[from] std::io::Error),
+    /// The metrics could not be registered.
+    #[error("cannot register metrics: {0}")]
+    Metrics(#[from] prometheus::Error),
+}
+
+/// Runs an instance until it is told to stop; `reload` is called when the settings may have
+/// changed and tells what to log.
+///
+/// # Errors
+/// Returns what could not be had at the start.
+pub fn run(settings: GatewaySettings, reload: impl Fn() -> String) -> Result<(), Error> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve_until_told(settings, reload))
+}
+
+async fn tcp(addr: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(addr).await.map_err(|source| Error::Listen { addr, source })
+}
+
+async fn serve_until_told(
+    settings: GatewaySettings,
+    reload: impl Fn() -> String,
+) -> Result<(), Error> {
+    let clock = Clock::start();
+    let peers_addr = settings.peers_addr;
+    let socket = UdpSocket::bind(peers_addr)
+        .await
+        .map_err(|source| Error::Listen { addr: peers_addr, source })?;
+    let snapshots = tcp(peers_addr).await?;
+    let callers = tcp(settings.callers_addr).await?;
+    let ready = tcp(settings.ready_addr).await?;
+    let metrics = tcp(settings.metrics_addr).await?;
+    let log = EventLog::start(settings.instance_id.clone(), clock, std::io::stdout())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let gateway = Gateway::new(settings, clock, socket, log, GatewayMetrics::new()?);
+    let gateway = Rc::new(gateway);
+    gateway
+        .log
+        .line(events::READY, Weight::Notable)
+        .text("callers", gateway.settings.callers_addr)
+        .text("domain", &gateway.settings.domain)
+        .number("incarnation", gateway.incarnation)
+        .close();
+    let spawn = |gateway: &Rc<Gateway>| Rc::clone(gateway);
+    tokio::task::spawn_local(sync::run_operator(spawn(&gateway)));
+    tokio::task::spawn_local(sync::run_workers(spawn(&gateway)));
+    tokio::task::spawn_local(peers::duty::run_receiver(spawn(&gateway)));
+    tokio::task::spawn_local(peers::duty::run_beats(spawn(&gateway)));
+    tokio::task::spawn_local(peers::duty::run_snapshots(spawn(&gateway), snapshots));
+    tokio::task::spawn_local(peers::duty::run_demand(spawn(&gateway)));
+    tokio::task::spawn_local(lead::duty::run(spawn(&gateway)));
+    tokio::task::spawn_local(fleet::duty::run(spawn(&gateway)));
+    tokio::task::spawn_local(serve::run_callers(spawn(&gateway), callers));
+    tokio::task::spawn_local(serve::run_ready(spawn(&gateway), ready));
+    tokio::task::spawn_local(serve::run_metrics(spawn(&gateway), metrics));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => {
+                let line = gateway.log.line(events::SETTINGS_READ, Weight::Notable);
+                line.text("result", reload()).close();
+            }
+        }
+    }
+    close(&gateway).await;
+    Ok(())
+}
+
+/// Ends the instance without cutting off any request that can end within the time to stop.
+async fn close(gateway: &Rc<Gateway>) {
+    let told_ms = gateway.now_ms();
+    gateway.leaving.set(true);
+    gateway.log.line(events::LEAVING, Weight::Notable).close();
+    lead::duty::release(gateway).await;
+    let last_ms = told_ms + gateway.settings.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+    let linger_until_ms = (told_ms + LINGER_MS).min(last_ms);
+    while gateway.now_ms() < linger_until_ms {
+        tokio::time::sleep(DRAIN_LOOK).await;
+    }
+    gateway.close_told.notify_waiters();
+    while gateway.in_progress() > 0 && gateway.now_ms() < last_ms {
+        tokio::time::sleep(DRAIN_LOOK).await;
+    }
+    tokio::time::sleep(FLUSH).await;
+    let line = gateway.log.line(events::STOPPED, Weight::Notable);
+    line.number("requests_left", gateway.in_progress() as u64).close();
+    tokio::time::sleep(FLUSH).await;
+}
--- /dev/null
+++ b/lovageridge/src/gateway/serve.rs
@@ -0,0 +1,241 @@
+//! The callers' port: connections, limits on what callers send, and the choice of a route.
+
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::gateway::Gateway;
+use crate::gateway::answer::OutBody;
+use crate::gateway::answer::Refusal;
+use crate::gateway::attempt;
+use crate::gateway::attempt::Call;
+use crate::gateway::catalog::Catalog;
+use crate::gateway::catalog::Limits;
+use crate::gateway::catalog::Route;
+use crate::gateway::eventlog::Weight;
+use crate::gateway::link;
+use crate::gateway::waits::Target;
+use crate::platform;
+use crate::platform::headers;
+use crate::telemetry::events;
+
+/// Smallest buffer that the HTTP library accepts for heads, in bytes.
+const HEAD_BUFFER_MIN_BYTES: usize = 8192;
+/// Time for which a caller waits that names none, in ms.
+const DEFAULT_DEADLINE_MS: u64 = 30_000;
+/// When to come back to an instance that knows no configuration yet, in ms.
+const RETRY_STARTING_MS: u64 = 500;
+/// Pause after a failed accept, for descriptors to come free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Accepts callers' connections until the process ends.
+pub async fn run_callers(gateway: Rc<Gateway>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let gateway = Rc::clone(&gateway);
+                tokio::task::spawn_local(serve_connection(gateway, stream));
+            }
+            Err(error) => {
+                let line = gateway.log.line(events::ACCEPT_FAILED, Weight::Notable);
+                line.text("detail", error).close();
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
+    if link::tune(&stream).is_err() {
+        // The caller has closed the connection already.
+        return;
+    }
+    let limits = gateway.catalog().map_or_else(Limits::default, |catalog| catalog.limits.clone());
+    let for_service = Rc::clone(&gateway);
+    let service = service_fn(move |request| handle(Rc::clone(&for_service), request));
+    // The library counts an idle connection's wait for the next head as part of the head's time,
+    // so the longer of the two limits bounds both.
+    let head_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(head_ms))
+        .max_buf_size(limits.header_bytes.max(HEAD_BUFFER_MIN_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    // Errors here are callers that went away or broke the protocol, which ends the connection.
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = gateway.close_told.notified() => {
+            connection.as_mut().graceful_shutdown();
+            let _ = connection.await;
+        }
+    }
+}
+
+struct InProgress<'a>(&'a Gateway);
+
+// A caller that leaves drops its request wherever that waits.
+impl Drop for InProgress<'_> {
+    fn drop(&mut self) {
+        self.0.count_in_progress(-1);
+    }
+}
+
+async fn handle(
+    gateway: Rc<Gateway>,
+    request: Request<Incoming>,
+) -> Result<Response<OutBody>, Infallible> {
+    gateway.count_in_progress(1);
+    let counted = InProgress(&gateway);
+    let mut response = respond(&gateway, request).await;
+    if gateway.leaving.get() {
+        let close = hyper::header::HeaderValue::from_static("close");
+        response.headers_mut().insert(hyper::header::CONNECTION, close);
+    }
+    drop(counted);
+    Ok(response)
+}
+
+async fn respond(gateway: &Rc<Gateway>, request: Request<Incoming>) -> Response<OutBody> {
+    let arrived_ms = gateway.now_ms();
+    let (parts, body) = request.into_parts();
+    let fields = headers::read_call(&parts.headers);
+    let id = fields.id.clone();
+    let refuse = |refusal: Refusal| {
+        let line = gateway.log.line(events::REQUEST_REFUSED, Weight::Notable);
+        line.text("request", id.as_deref().unwrap_or(""))
+            .text("path", parts.uri.path())
+            .text("outcome", refusal.cause)
+            .number("status", refusal.status.as_u16())
+            .close();
+        gateway.metrics.requests_total.with_label_values(&["", refusal.cause]).inc();
+        refusal.into_response(id.as_deref())
+    };
+    let Some(catalog) = gateway.catalog() else {
+        return refuse(Refusal::not_run("no configuration is known yet", RETRY_STARTING_MS));
+    };
+    // The body is read before any refusal, so that the answer is not lost to a reset.
+    let body = match Limited::new(body, catalog.limits.body_bytes).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) if error.is::<LengthLimitError>() => {
+            let status = StatusCode::PAYLOAD_TOO_LARGE;
+            return refuse(Refusal::failed(status, "the body is too large"));
+        }
+        Err(_) => return refuse(Refusal::failed(StatusCode::BAD_REQUEST, "the body broke off")),
+    };
+    let host = parts.headers.get(hyper::header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.unwrap_or("").split(':').next().unwrap_or("").to_ascii_lowercase();
+    let Some(route) = catalog.route(&host, parts.uri.path()).cloned() else {
+        return refuse(Refusal::failed(StatusCode::NOT_FOUND, "no route matches"));
+    };
+    let service = draw_service(&route, &catalog, gateway);
+    let waits_ms = fields.deadline_ms.unwrap_or(DEFAULT_DEADLINE_MS).min(route.timeout_ms);
+    let target = fields.model.clone().filter(|_| catalog.engine(&service).is_some());
+    let target = target.map(|model| Target {
+        service: service.clone(),
+        model,
+        adapter: fields.adapter.clone(),
+    });
+    // A resumed stream of a route that does not allow it is sent as it came: the worker decides.
+    let call = Call {
+        method: parts.method.clone(),
+        uri: parts.uri.clone(),
+        headers: parts.headers.clone(),
+        body,
+        fields,
+        catalog,
+        route,
+        service,
+        target,
+        arrived_ms,
+        give_up_ms: arrived_ms + waits_ms,
+    };
+    attempt::answer(gateway, call).await
+}
+
+/// Draws one of the route's services by weight, of those with a worker if there are any.
+fn draw_service(route: &Route, catalog: &Catalog, gateway: &Gateway) -> String {
+    let directory = gateway.directory.borrow();
+    let has_worker = |service: &str| {
+        directory.iter().any(|worker| worker.record.service == service && !worker.record.leaving)
+    };
+    let known = route.targets.iter().filter(|(service, _)| catalog.services.contains(service.as_str()));
+    let mut candidates: Vec<&(String, f64)> =
+        known.filter(|(service, weight)| *weight > 0.0 && has_worker(service)).collect();
+    if candidates.is_empty() {
+        candidates = route.targets.iter().collect();
+    }
+    let total: f64 = candidates.iter().map(|(_, weight)| weight).sum();
+    let mut left = rand::random::<f64>() * total;
+    for (service, weight) in &candidates {
+        left -= weight;
+        if left <= 0.0 {
+            return service.clone();
+        }
+    }
+    candidates.last().map_or_else(String::new, |(service, _)| service.clone())
+}
+
+/// Answers the balancer's questions whether the instance is ready.
+pub async fn run_ready(gateway: Rc<Gateway>, listener: TcpListener) {
+    run_plain(listener, move |path: &str| {
+        if path != platform::READY_PATH {
+            return (StatusCode::NOT_FOUND, Vec::new());
+        }
+        let ready = gateway.is_ready();
+        (if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, Vec::new())
+    })
+    .await;
+}
+
+/// Serves the metrics.
+pub async fn run_metrics(gateway: Rc<Gateway>, listener: TcpListener) {
+    run_plain(listener, move |_: &str| {
+        gateway.metrics.log_lines_dropped.set(gateway.log.dropped() as i64);
+        (StatusCode::OK, gateway.metrics.text())
+    })
+    .await;
+}
+
+async fn run_plain(
+    listener: TcpListener,
+    answer: impl Fn(&str) -> (StatusCode, Vec<u8>) + 'static,
+) {
+    let answer = Rc::new(answer);
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let answer = Rc::clone(&answer);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (status, body) = answer(request.uri().path());
+            async move {
+                let mut response = Response::new(OutBody::whole(body));
+                *response.status_mut() = status;
+                Ok::<_, Infallible>(response)
+            }
+        });
+        tokio::task::spawn_local(async move {
+            let connection =
+                http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            // A questioner that went away needs no answer.
+            let _ = connection.await;
+        });
+    }
+}
--- /dev/null
+++ b/lovageridge/src/gateway/settings.rs
@@ -0,0 +1,128 @@
+//! Settings of an instance that serves as a gateway, whatever file they come from.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+
+/// Settings of one gateway instance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct GatewaySettings {
+    /// Name of the instance, unique in the deployment.
+    pub instance_id: String,
+    /// Failure domain of the instance.
+    pub domain: String,
+    /// Address of the callers' port.
+    pub callers_addr: SocketAddr,
+    /// Address on which the balancer asks whether the instance is ready.
+    pub ready_addr: SocketAddr,
+    /// Address of the UDP and TCP port for other instances.
+    pub peers_addr: SocketAddr,
+    /// Address of the metrics.
+    pub metrics_addr: SocketAddr,
+    /// Address of the platform's store.
+    pub store_addr: SocketAddr,
+    /// Ports for peers of a few instances, for a start without the store.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between the last order of one lead and the first of the next, in ms.
+    pub lease_ms: u64,
+    /// Time between the signal to stop and the kill, in ms.
+    pub grace_ms: u64,
+    /// Share of repeated sends to a service that all instances may make together, in 1/1000.
+    pub retry_permille: u64,
+    /// Repeated sends in a window that are free for all instances together.
+    pub retry_slack: u64,
+    /// Window of the two figures above, in ms.
+    pub retry_window_ms: u64,
+    /// Time for which messages held up by a cut still arrive after it heals, in ms.
+    pub thaw_ms: u64,
+    /// Window over which loads from the weight store are counted, in ms.
+    pub load_window_ms: u64,
+    /// Whether workers refuse orders with a lower fencing number than they have seen.
+    pub workers_check: bool,
+    /// Time between the records of a worker in the store, in ms.
+    pub worker_beat_ms: u64,
+}
+
+/// Builds [`GatewaySettings`].
+#[derive(Clone, Debug)]
+pub struct GatewaySettingsBuilder {
+    settings: GatewaySettings,
+}
+
+macro_rules! setters {
+    ($($(#[$doc:meta])* $name:ident: $kind:ty;)*) => {
+        $($(#[$doc])*
+        pub fn $name(mut self, value: $kind) -> Self {
+            self.settings.$name = value;
+            self
+        })*
+    };
+}
+
+impl GatewaySettingsBuilder {
+    /// Starts with the name and failure domain of the instance; ports are chosen by the system.
+    pub fn new(instance_id: impl Into<String>, domain: impl Into<String>) -> Self {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let settings = GatewaySettings {
+            instance_id: instance_id.into(),
+            domain: domain.into(),
+            callers_addr: any,
+            ready_addr: any,
+            peers_addr: any,
+            metrics_addr: any,
+            store_addr: any,
+            seeds: Vec::new(),
+            lease_ms: 3000,
+            grace_ms: 8000,
+            retry_permille: 200,
+            retry_slack: 50,
+            retry_window_ms: 10_000,
+            thaw_ms: 300,
+            load_window_ms: 5000,
+            workers_check: false,
+            worker_beat_ms: 1200,
+        };
+        Self { settings }
+    }
+
+    setters! {
+        /// Sets the address of the callers' port.
+        callers_addr: SocketAddr;
+        /// Sets the address of the readiness port.
+        ready_addr: SocketAddr;
+        /// Sets the address of the port for peers.
+        peers_addr: SocketAddr;
+        /// Sets the address of the metrics.
+        metrics_addr: SocketAddr;
+        /// Sets the address of the platform's store.
+        store_addr: SocketAddr;
+        /// Sets the peers to ask when the store is away.
+        seeds: Vec<SocketAddr>;
+        /// Sets the wait of a new lead in ms.
+        lease_ms: u64;
+        /// Sets the time to stop in ms.
+        grace_ms: u64;
+        /// Sets the free repeated sends in a window.
+        retry_slack: u64;
+        /// Sets the window of repeated sends in ms.
+        retry_window_ms: u64;
+        /// Sets the time for which held-up messages still arrive, in ms.
+        thaw_ms: u64;
+        /// Sets the window of loads from the weight store in ms.
+        load_window_ms: u64;
+        /// Sets whether workers check fencing numbers.
+        workers_check: bool;
+        /// Sets the time between the records of a worker in ms.
+        worker_beat_ms: u64;
+    }
+
+    /// Sets the share of repeated sends (0.2: one in five requests).
+    pub fn retry_ratio(mut self, ratio: f64) -> Self {
+        self.settings.retry_permille = (ratio * 1000.0) as u64;
+        self
+    }
+
+    /// Returns the settings.
+    pub fn build(self) -> GatewaySettings {
+        self.settings
+    }
+}
--- /dev/null
+++ b/lovageridge/src/gateway/waits.rs
@@ -0,0 +1,89 @@
+//! Requests of this instance that wait for a model, and what models its callers use.
+
+use crate::gateway::peers::Use;
+use crate::gateway::peers::Want;
+use crate::sorted::Table;
+
+/// Service, model and adapter that a request needs.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Target {
+    /// Service.
+    pub service: String,
+    /// Model.
+    pub model: String,
+    /// Adapter of the model.
+    pub adapter: Option<String>,
+}
+
+#[derive(Clone, Debug)]
+struct Waiting {
+    ticket: u64,
+    objective_at_ms: u64,
+}
+
+/// Waiting requests by target.
+#[derive(Clone, Debug, Default)]
+pub struct Waits {
+    waiting: Table<Target, Vec<Waiting>>,
+    arrivals: Table<Target, u32>,
+    tickets: u64,
+}
+
+impl Waits {
+    /// Notes that a request for `target` has arrived.
+    pub fn on_arrival(&mut self, target: &Target) {
+        *self.arrivals.get_or_insert_with(target.clone(), || 0) += 1;
+    }
+
+    /// Adds a waiting request and returns its ticket.
+    pub fn add(&mut self, target: &Target, objective_at_ms: u64) -> u64 {
+        self.tickets += 1;
+        let waiting = self.waiting.get_or_insert_with(target.clone(), Vec::new);
+        waiting.push(Waiting { ticket: self.tickets, objective_at_ms });
+        self.tickets
+    }
+
+    /// Removes a waiting request.
+    pub fn remove(&mut self, target: &Target, ticket: u64) {
+        let Some(waiting) = self.waiting.get_mut(target) else { return };
+        waiting.retain(|one| one.ticket != ticket);
+        if waiting.is_empty() {
+            self.waiting.remove(target);
+        }
+    }
+
+    /// Returns what the lead should bring into use; `unreachable` names, for a target, the workers
+    /// that hold it but cannot be reached.
+    pub fn wants(&self, unreachable: impl Fn(&Target) -> Vec<String>, now_ms: u64) -> Vec<Want> {
+        let rows = self.waiting.iter().map(|(target, waiting)| Want {
+            service: target.service.clone(),
+            model: target.model.clone(),
+            adapter: target.adapter.clone(),
+            waiting: waiting.len() as u32,
+            slack_ms: waiting
+                .iter()
+                .map(|one| one.objective_at_ms.saturating_sub(now_ms))
+                .max()
+                .unwrap_or(0),
+            unreachable: unreachable(target),
+        });
+        rows.collect()
+    }
+
+    /// Returns the arrivals since the last call.
+    pub fn take_uses(&mut self) -> Vec<Use> {
+        let arrivals = std::mem::take(&mut self.arrivals);
+        let rows = arrivals.iter().map(|(target, count)| Use {
+            service: target.service.clone(),
+            model: target.model.clone(),
+            adapter: target.adapter.clone(),
+            arrivals: *count,
+        });
+        rows.collect()
+    }
+
+    /// Tells whether any request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- a/lovageridge/src/platform/list.rs
+++ b/lovageridge/src/infra/list.rs
@@ -7,8 +7,8 @@
 use serde::Serialize;
 
 use crate::outbound;
-use crate::platform::Error;
-use crate::platform::body;
+use crate::infra::Error;
+use crate::infra::body;
 
 /// Service name under which the entry instances are listed.
 pub const ENTRY_SERVICE: &str = "lovageridge";
--- a/lovageridge/src/platform/log.rs
+++ b/lovageridge/src/infra/log.rs
@@ -11,8 +11,8 @@
 use serde::de::DeserializeOwned;
 
 use crate::outbound;
-use crate::platform::Error;
-use crate::platform::body;
+use crate::infra::Error;
+use crate::infra::body;
 
 /// Most bytes of records that one read asks for.
 const READ_MAX_BYTES: u64 = 4 * 1024 * 1024;
--- a/lovageridge/src/leadership.rs
+++ b/lovageridge/src/leadership.rs
@@ -12,7 +12,7 @@
 use crate::document::Config;
 use crate::document::ServiceKind;
 use crate::hashing;
-use crate::platform::list::Listed;
+use crate::infra::list::Listed;
 
 /// Returns the name of a cell.
 pub fn cell_name(service: &str, domain: &str, index: u64) -> String {
--- a/lovageridge/src/membership.rs
+++ b/lovageridge/src/membership.rs
@@ -11,8 +11,8 @@
 use std::net::SocketAddr;
 
 use crate::hashing;
-use crate::platform::list::ENTRY_SERVICE;
-use crate::platform::list::Listed;
+use crate::infra::list::ENTRY_SERVICE;
+use crate::infra::list::Listed;
 use crate::sorted::Table;
 use crate::wire::Beat;
 use crate::wire::LeadOf;
--- a/lovageridge/src/membership/duty.rs
+++ b/lovageridge/src/membership/duty.rs
@@ -13,7 +13,7 @@
 use crate::context::lock;
 use crate::dispatch::duty::Event as DispatchEvent;
 use crate::placement::event::Event as LeadEvent;
-use crate::platform::list;
+use crate::infra::list;
 use crate::telemetry::events;
 use crate::wire;
 use crate::wire::Beat;
--- a/lovageridge/src/placement/core.rs
+++ b/lovageridge/src/placement/core.rs
@@ -22,7 +22,7 @@
 use crate::placement::pace::Pace;
 use crate::placement::record::LoadDecision;
 use crate::placement::record::Record;
-use crate::platform::list::Listed;
+use crate::infra::list::Listed;
 use crate::sorted::Table;
 use crate::upstream::engine::Phase;
 use crate::wire::ColdAsk;
--- a/lovageridge/src/placement/duty.rs
+++ b/lovageridge/src/placement/duty.rs
@@ -39,7 +39,7 @@
 use crate::placement::record::LoadDecision;
 use crate::placement::status;
 use crate::placement::status::CellStatus;
-use crate::platform::list::Listed;
+use crate::infra::list::Listed;
 use crate::sorted::Table;
 use crate::telemetry::events;
 use crate::wire::ColdAsk;
--- a/lovageridge/src/placement/tests.rs
+++ b/lovageridge/src/placement/tests.rs
@@ -16,7 +16,7 @@
 use crate::placement::record::LoadDecision;
 use crate::placement::record::Record;
 use crate::placement::record::undone;
-use crate::platform::list::Listed;
+use crate::infra::list::Listed;
 use crate::upstream::engine::EngineState;
 use crate::upstream::engine::Held;
 use crate::upstream::engine::Phase;
--- a/lovageridge/src/platform.rs
+++ b/lovageridge/src/platform.rs
@@ -1,42 +1,39 @@
-//! Clients of what the platform gives: the append-only log and the instance list.
+//! Adapter for the users' platform: names, formats and calls.
+//!
+//! Everything here translates between the platform's words and the types of [`crate::gateway`];
+//! nothing here decides. `docs/GLOSSARY.md` maps the words.
 
-pub mod list;
-pub mod log;
+pub mod config;
+pub mod control;
+pub mod headers;
+pub mod settings;
+pub mod store;
+pub mod workers;
 
-use std::time::Duration;
+#[cfg(test)]
+mod tests;
 
-/// A call to the platform that gave no usable answer.
+/// Path of the readiness question that the balancer asks.
+pub const READY_PATH: &str = "/lovageridge/readiness";
+
+/// A message of the platform that cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
-    /// The service could not be reached or did not answer in time; a write may have taken effect.
-    #[error("no answer: {0}")]
-    NoAnswer(#[from] attohttpc::Error),
-    /// The service refused the call.
-    #[error("status {status_code}")]
-    Status {
-        /// HTTP status.
-        status_code: u16,
+    /// The text is not in the expected form.
+    #[error("malformed: {0}")]
+    Json(#[from] serde_json::Error),
+    /// A field has a value that cannot be used.
+    #[error("{field}: {reason}")]
+    Field {
+        /// Name of the field.
+        field: &'static str,
+        /// What is wrong with it.
+        reason: String,
     },
-    /// The answer was not in the expected form.
-    #[error("malformed answer: {0}")]
-    Malformed(#[from] serde_json::Error),
 }
 
-/// Time allowed for connecting to the platform.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-
-/// Sends `request` and returns the body of a 2xx answer.
-pub(crate) fn body<B: attohttpc::body::Body>(
-    request: attohttpc::RequestBuilder<B>,
-    timeout: Duration,
-) -> Result<Vec<u8>, Error> {
-    let answer = request
-        .connect_timeout(CONNECT_TIMEOUT)
-        .read_timeout(timeout)
-        .timeout(timeout + CONNECT_TIMEOUT)
-        .send()?;
-    if !answer.is_success() {
-        return Err(Error::Status { status_code: answer.status().as_u16() });
+impl Error {
+    pub(crate) fn field(field: &'static str, reason: impl Into<String>) -> Self {
+        Self::Field { field, reason: reason.into() }
     }
-    Ok(answer.bytes()?)
 }
--- /dev/null
+++ b/lovageridge/src/platform/headers.rs
@@ -0,0 +1,163 @@
+//! Headers of requests and answers, between callers, the product and upstreams.
+
+use hyper::HeaderMap;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+
+use crate::gateway::call::CallFields;
+use crate::gateway::call::LoadSeen;
+use crate::gateway::call::OutcomeFields;
+use crate::gateway::call::SendFields;
+
+const ATTEMPT_ID: HeaderName = HeaderName::from_static("x-lovageridge-attempt-id");
+const DEADLINE: HeaderName = HeaderName::from_static("x-lovageridge-deadline-ms");
+const MODEL: HeaderName = HeaderName::from_static("x-lovageridge-model");
+const TOKENS: HeaderName = HeaderName::from_static("x-lovageridge-token-count");
+const PARTS: HeaderName = HeaderName::from_static("x-lovageridge-prompt-prefix");
+const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-lovageridge-expect-instance");
+const URGENCY: HeaderName = HeaderName::from_static("x-lovageridge-request-urgency");
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-lovageridge-not-executed");
+const SEAL: HeaderName = HeaderName::from_static("x-lovageridge-server-seal");
+const LOAD: HeaderName = HeaderName::from_static("x-lovageridge-server-load");
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Headers that only the system may set; a caller's own are dropped.
+const SYSTEM_SET: [&str; 9] = [
+    "x-lovageridge-expect-instance",
+    "x-lovageridge-expect-version",
+    "x-lovageridge-request-urgency",
+    "x-lovageridge-hold",
+    "x-lovageridge-pin-ms",
+    "x-lovageridge-kv-backup",
+    "kv-from",
+    "kv-fetch",
+    "expect",
+];
+
+/// Reads what the product goes by from a caller's request.
+pub fn read_call(headers: &HeaderMap) -> CallFields {
+    let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    let (model, adapter) = match text(&MODEL) {
+        Some(target) => match target.split_once('/') {
+            Some((model, adapter)) => (Some(model.to_owned()), Some(adapter.to_owned())),
+            None => (Some(target.to_owned()), None),
+        },
+        None => (None, None),
+    };
+    let tokens: Vec<u64> = text(&TOKENS)
+        .map(|value| value.split(',').filter_map(|part| part.trim().parse().ok()).collect())
+        .unwrap_or_default();
+    CallFields {
+        id: text(&ATTEMPT_ID).map(str::to_owned),
+        deadline_ms: text(&DEADLINE).and_then(|value| value.trim().parse().ok()),
+        model,
+        adapter,
+        prompt_tokens: tokens.first().copied().unwrap_or(0),
+        output_tokens: tokens.get(1).copied().unwrap_or(0),
+        shared_part: text(&PARTS).and_then(|value| value.split(':').next()).map(str::to_owned),
+        last_event: text(&LAST_EVENT).map(str::to_owned),
+    }
+}
+
+/// Returns the headers of the request to an upstream.
+pub fn upstream_headers(caller: &HeaderMap, send: &SendFields<'_>) -> HeaderMap {
+    let named = listed_in_connection(caller);
+    let mut headers = HeaderMap::with_capacity(caller.len() + 4);
+    for (name, value) in caller {
+        let text = name.as_str();
+        let dropped = HOP_BY_HOP.contains(&text)
+            || SYSTEM_SET.contains(&text)
+            || text == "content-length"
+            || *name == DEADLINE
+            || (*name == LAST_EVENT && send.last_event.is_some())
+            || named.iter().any(|listed| listed == text);
+        if !dropped {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    headers.insert(DEADLINE, HeaderValue::from(send.remaining_ms));
+    if let Ok(value) = HeaderValue::from_str(send.worker_id) {
+        headers.insert(EXPECT_INSTANCE, value);
+    }
+    if let Some(urgency) = send.urgency {
+        headers.insert(URGENCY, HeaderValue::from(u16::from(urgency)));
+    }
+    if let Some(Ok(value)) = send.last_event.map(HeaderValue::from_str) {
+        headers.insert(LAST_EVENT, value);
+    }
+    headers
+}
+
+/// Returns the headers of a call to a worker's own interface.
+pub fn control_headers(worker_id: &str) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    if let Ok(value) = HeaderValue::from_str(worker_id) {
+        headers.insert(EXPECT_INSTANCE, value);
+    }
+    headers
+}
+
+/// Reads what the product goes by from an upstream's answer.
+pub fn read_outcome(headers: &HeaderMap) -> OutcomeFields {
+    let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
+    OutcomeFields {
+        id: text(&ATTEMPT_ID).map(str::to_owned),
+        not_executed: headers.contains_key(NOT_EXECUTED),
+        sealed: headers.contains_key(SEAL),
+        encoded: headers.contains_key(hyper::header::CONTENT_ENCODING),
+        load: text(&LOAD).and_then(read_load),
+        idle_timeout_ms: text(&HeaderName::from_static("keep-alive")).and_then(read_keep_alive_ms),
+        closes: text(&hyper::header::CONNECTION)
+            .is_some_and(|value| value.eq_ignore_ascii_case("close")),
+    }
+}
+
+fn read_load(text: &str) -> Option<LoadSeen> {
+    let mut numbers = text.split(',').map(|part| part.trim().parse::<u32>());
+    let running = numbers.next()?.ok()?;
+    let waiting = numbers.next()?.ok()?;
+    Some(LoadSeen { running, waiting })
+}
+
+fn read_keep_alive_ms(text: &str) -> Option<u64> {
+    let timeout = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+    timeout.trim().parse::<u64>().ok().map(|seconds| seconds * 1000)
+}
+
+/// Returns the headers of an upstream's answer that the caller gets.
+pub fn caller_headers(upstream: &HeaderMap) -> HeaderMap {
+    let named = listed_in_connection(upstream);
+    let mut headers = HeaderMap::with_capacity(upstream.len());
+    for (name, value) in upstream {
+        let text = name.as_str();
+        if !HOP_BY_HOP.contains(&text) && !named.iter().any(|listed| listed == text) {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    headers
+}
+
+/// Marks an answer of the product's own with the request's id.
+pub fn mark_own_answer(headers: &mut HeaderMap, id: Option<&str>) {
+    if let Some(Ok(value)) = id.map(HeaderValue::from_str) {
+        headers.insert(ATTEMPT_ID, value);
+    }
+}
+
+fn listed_in_connection(headers: &HeaderMap) -> Vec<String> {
+    let values = headers.get_all(hyper::header::CONNECTION).iter();
+    let listed = values.filter_map(|value| value.to_str().ok()).flat_map(|text| text.split(','));
+    listed.map(|name| name.trim().to_ascii_lowercase()).collect()
+}
--- a/lovageridge/src/routing.rs
+++ b/lovageridge/src/routing.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 
 use crate::document::Target;
-use crate::platform::list::Listed;
+use crate::infra::list::Listed;
 use crate::routing::others::OthersLoad;
 use crate::sorted::Table;
 use crate::wire::WorkerView;
--- a/lovageridge/src/routing/plain.rs
+++ b/lovageridge/src/routing/plain.rs
@@ -2,7 +2,7 @@
 
 use rand::Rng;
 
-use crate::platform::list::Listed;
+use crate::infra::list::Listed;
 use crate::routing::Choice;
 use crate::sorted::Table;
 
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -76,4 +76,46 @@
     ADMIN_REFUSED = 600 "admin_refused";
     /// An edit was appended for a team.
     EDIT_APPENDED = 601 "edit_appended";
+    /// The gateway answered a request with an upstream's answer.
+    REQUEST_ANSWERED = 700 "request_answered";
+    /// The gateway answered a request itself.
+    REQUEST_REFUSED = 701 "request_refused";
+    /// A send to an upstream gave no answer of use.
+    SEND_FAILED = 702 "send_failed";
+    /// A stream was passed on to its end.
+    STREAM_ENDED = 703 "stream_ended";
+    /// An upstream's stream broke.
+    STREAM_BROKEN = 704 "stream_broken";
+    /// A broken stream goes on at another worker.
+    STREAM_RESUMED = 705 "stream_resumed";
+    /// A stream to a caller was cut off.
+    STREAM_CUT = 706 "stream_cut";
+    /// A connection of a caller could not be accepted.
+    ACCEPT_FAILED = 707 "accept_failed";
+    /// A configuration of the operator is in force.
+    CONFIG_IN_FORCE = 710 "config_in_force";
+    /// The settings file was read again.
+    SETTINGS_READ = 711 "settings_read";
+    /// The store does not answer.
+    STORE_UNREACHABLE = 712 "store_unreachable";
+    /// The store answers again.
+    STORE_REACHABLE = 713 "store_reachable";
+    /// A record of the store cannot be read.
+    RECORD_SKIPPED = 714 "record_skipped";
+    /// Records of the store were taken from another instance.
+    RECORDS_FROM_PEER = 715 "records_from_peer";
+    /// A worker is new, has started again, or is leaving.
+    WORKER_CHANGED = 716 "worker_changed";
+    /// A worker is gone.
+    WORKER_GONE = 717 "worker_gone";
+    /// Another lead was heard.
+    LEAD_HEARD = 720 "lead_heard";
+    /// The instance leads the model workers.
+    LEAD_GAINED = 721 "lead_gained";
+    /// The instance leads no longer.
+    LEAD_LOST = 722 "lead_lost";
+    /// A worker answered an order, or did not.
+    ORDER_ANSWERED = 723 "order_answered";
+    /// A worker gave no report.
+    REPORT_MISSING = 724 "report_missing";
 }
--- a/lovageridge/tests/interleavings/sim.rs
+++ b/lovageridge/tests/interleavings/sim.rs
@@ -21,7 +21,7 @@
 use lovageridge::placement::core::Surroundings;
 use lovageridge::placement::record;
 use lovageridge::placement::record::Record;
-use lovageridge::platform::list::Listed;
+use lovageridge::infra::list::Listed;
 use lovageridge::sorted::Table;
 use lovageridge::upstream::engine::EngineState;
 use lovageridge::upstream::engine::Order;
--- a/standins/src/list.rs
+++ b/standins/src/list.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use lovageridge::context::lock;
-use lovageridge::platform::list::Listed;
+use lovageridge::infra::list::Listed;
 use serde_json::json;
 
 use crate::http;
--- a/standins/src/log.rs
+++ b/standins/src/log.rs
@@ -9,8 +9,8 @@
 use std::time::Instant;
 
 use lovageridge::context::lock;
-use lovageridge::platform::log::Entry;
-use lovageridge::platform::log::Page;
+use lovageridge::infra::log::Entry;
+use lovageridge::infra::log::Page;
 use lovageridge::sorted::Table;
 use serde::Deserialize;
 use serde::Serialize;
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -12,8 +12,8 @@
 use lovageridge::config::record::SectionChange;
 use lovageridge::document::parse;
 use lovageridge::outbound;
-use lovageridge::platform::list::ENTRY_SERVICE;
-use lovageridge::platform::list::Listed;
+use lovageridge::infra::list::ENTRY_SERVICE;
+use lovageridge::infra::list::Listed;
 use serde_json::Value;
 
 use crate::booking::Booking;
