Count a request as in progress until the end of its body

Ruled out: the grace time; instances ended 2.7 s after the signal. Change: the body carries the count.

--- a/lovageridge/src/gateway/answer.rs
+++ b/lovageridge/src/gateway/answer.rs
@@ -15,6 +15,7 @@
 use hyper::header::HeaderValue;
 
 use crate::gateway::relay::Relay;
+use crate::gateway::serve::InProgress;
 use crate::platform::headers;
 
 /// A stream that broke off; the caller's connection ends without an end of the body.
@@ -25,15 +26,19 @@
 type Next = Pin<Box<dyn Future<Output = (Option<Result<Bytes, Broken>>, Relay)>>>;
 
 /// Body of an answer.
-pub enum OutBody {
-    /// A body that is there as a whole.
+pub struct OutBody {
+    content: Content,
+    // Counts the request as in progress until its body has been handed over or dropped.
+    counted: Option<InProgress>,
+}
+
+enum Content {
     Whole(Option<Bytes>),
-    /// A stream that is passed on as it arrives.
     Stream(RelayBody),
 }
 
-/// A stream that is passed on.
-pub struct RelayBody {
+/// A stream that is passed on as it arrives.
+struct RelayBody {
     idle: Option<Relay>,
     // The type of an async function's future has no name.
     next: Option<Next>,
@@ -42,12 +47,18 @@
 impl OutBody {
     /// Returns a body that is there as a whole.
     pub fn whole(bytes: impl Into<Bytes>) -> Self {
-        Self::Whole(Some(bytes.into()))
+        Self { content: Content::Whole(Some(bytes.into())), counted: None }
     }
 
     /// Returns a stream.
     pub fn stream(relay: Relay) -> Self {
-        Self::Stream(RelayBody { idle: Some(relay), next: None })
+        let body = RelayBody { idle: Some(relay), next: None };
+        Self { content: Content::Stream(body), counted: None }
+    }
+
+    /// Keeps the count of the request until the end of the body.
+    pub fn keep_until_end(&mut self, counted: InProgress) {
+        self.counted = Some(counted);
     }
 }
 
@@ -59,28 +70,28 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
-        match self.get_mut() {
-            Self::Whole(bytes) => {
+        match &mut self.get_mut().content {
+            Content::Whole(bytes) => {
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
                 Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
             }
-            Self::Stream(body) => body.poll(context),
+            Content::Stream(body) => body.poll(context),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        match self {
-            Self::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
-            Self::Stream(body) => body.idle.is_none() && body.next.is_none(),
+        match &self.content {
+            Content::Whole(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
+            Content::Stream(body) => body.idle.is_none() && body.next.is_none(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(bytes) => {
+        match &self.content {
+            Content::Whole(bytes) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Stream(_) => SizeHint::default(),
+            Content::Stream(_) => SizeHint::default(),
         }
     }
 }
--- a/lovageridge/src/gateway/serve.rs
+++ b/lovageridge/src/gateway/serve.rs
@@ -87,10 +87,18 @@
     }
 }
 
-struct InProgress<'a>(&'a Gateway);
+/// A request that has arrived and whose answer is not at its end.
+pub struct InProgress(Rc<Gateway>);
+
+impl InProgress {
+    fn new(gateway: &Rc<Gateway>) -> Self {
+        gateway.count_in_progress(1);
+        Self(Rc::clone(gateway))
+    }
+}
 
 // A caller that leaves drops its request wherever that waits.
-impl Drop for InProgress<'_> {
+impl Drop for InProgress {
     fn drop(&mut self) {
         self.0.count_in_progress(-1);
     }
@@ -100,14 +108,13 @@
     gateway: Rc<Gateway>,
     request: Request<Incoming>,
 ) -> Result<Response<OutBody>, Infallible> {
-    gateway.count_in_progress(1);
-    let counted = InProgress(&gateway);
+    let counted = InProgress::new(&gateway);
     let mut response = respond(&gateway, request).await;
+    response.body_mut().keep_until_end(counted);
     if gateway.leaving.get() {
         let close = hyper::header::HeaderValue::from_static("close");
         response.headers_mut().insert(hyper::header::CONNECTION, close);
     }
-    drop(counted);
     Ok(response)
 }
 
