Bound what is given up for a waiting request

Ruled out: load times (as configured), replies of workers (0.05 to 0.09 s from unload to load where nothing ran). Change: a loss above what a waiting request can lose is never taken; a running model costs 15 s.

--- a/lovageridge/src/gateway/fleet/plan.rs
+++ b/lovageridge/src/gateway/fleet/plan.rs
@@ -21,8 +21,12 @@
 const RATE_FLOOR: f64 = 0.02;
 /// Part of a model's loss that remains while it has a replica elsewhere.
 const REPLICA_LOSS: f64 = 0.08;
-/// Loss of an unload that must wait for requests in progress, in ms.
-const RUNNING_LOSS_MS: f64 = 4000.0;
+/// Loss of an unload that must wait for requests in progress, in ms; meanwhile the worker can load
+/// nothing else and the model takes no requests.
+const RUNNING_LOSS_MS: f64 = 15_000.0;
+/// Loss up to which others are given up for one waiting request, in ms: about the time for which
+/// callers wait.
+const WAIT_LOSS_MS: f64 = 8000.0;
 /// Requests in progress that one replica serves well beside what else its worker does.
 const RUNNING_PER_REPLICA: u32 = 16;
 /// Requests a second from which a model has a second replica.
@@ -227,6 +231,9 @@
             else {
                 continue;
             };
+            if loss_ms > weight * WAIT_LOSS_MS {
+                continue;
+            }
             let cost = weight * load_ms as f64 + loss_ms;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let worker = site.id.clone();
