--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -108,6 +108,8 @@
     pub metrics: GatewayMetrics,
     /// Set when the instance is told to stop.
     pub leaving: Cell<bool>,
+    /// Set when a stopping instance takes no further requests.
+    pub refusing: Cell<bool>,
     /// Told when connections of callers shall end after the request in progress.
     pub close_told: Notify,
     budgets: RefCell<Table<String, Budget>>,
@@ -151,6 +153,7 @@
             log,
             metrics,
             leaving: Cell::new(false),
+            refusing: Cell::new(false),
             close_told: Notify::new(),
             budgets: RefCell::default(),
             in_progress: Cell::new(0),
--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -105,8 +105,9 @@
         self.arrived_ms + self.route.objective_ms
     }
 
-    /// Returns the time until which it waits for a model, in ms.
-    fn wait_until_ms(&self) -> u64 {
+    /// Returns the time until which it waits for a model, in ms; `since_ms` is its arrival or the
+    /// caller's last event.
+    fn wait_until_ms(&self, since_ms: u64) -> u64 {
         let patience_ms = if self.route.kind.is_stream() {
             let by_objective = self.route.objective_ms * 4;
             CALLER_PATIENCE_MS.max(by_objective).max(self.route.gap_ms * 8)
@@ -114,7 +115,7 @@
             self.give_up_ms.saturating_sub(self.arrived_ms)
         };
         let wait_ms = patience_ms * WAIT_PATIENCE_PCT / 100;
-        self.give_up_ms.min(self.arrived_ms + wait_ms)
+        self.give_up_ms.min(since_ms + wait_ms)
     }
 }
 
@@ -244,7 +245,8 @@
     tries: &mut Tries,
 ) -> Result<Response<OutBody>, Refusal> {
     loop {
-        let chosen = await_worker(gateway, call, &tries.workers).await?;
+        let wait_until_ms = call.wait_until_ms(call.arrived_ms);
+        let chosen = await_worker(gateway, call, &tries.workers, wait_until_ms).await?;
         let limit_ms = send_limit_ms(gateway, call, tries, &chosen);
         let last_event = None;
         let sent = send(gateway, call, &chosen, tries, last_event, limit_ms).await;
@@ -377,9 +379,9 @@
     gateway: &Gateway,
     call: &Call,
     tried: &[String],
+    wait_until_ms: u64,
 ) -> Result<Chosen, Refusal> {
     let mut waiting: Option<Waiting<'_>> = None;
-    let wait_until_ms = call.wait_until_ms();
     loop {
         let changed = gateway.changed.notified();
         let lack = match find(gateway, call, tried, true) {
@@ -677,8 +679,9 @@
     tries: &mut Tries,
     last_event: Option<&str>,
 ) -> Option<Arriving> {
+    let wait_until_ms = call.wait_until_ms(gateway.now_ms());
     while may_repeat(gateway, call, tries) {
-        let chosen = await_worker(gateway, call, &tries.workers).await.ok()?;
+        let chosen = await_worker(gateway, call, &tries.workers, wait_until_ms).await.ok()?;
         let limit_ms = send_limit_ms(gateway, call, tries, &chosen);
         match send(gateway, call, &chosen, tries, last_event, limit_ms).await {
             Sent::Arriving(arriving) if arriving.response.status().is_success() => {
--- a/lovageridge/src/gateway/run.rs
+++ b/lovageridge/src/gateway/run.rs
@@ -129,6 +129,7 @@
     while gateway.now_ms() < linger_until_ms {
         tokio::time::sleep(DRAIN_LOOK).await;
     }
+    gateway.refusing.set(true);
     gateway.close_told.notify_waiters();
     while gateway.in_progress() > 0 && gateway.now_ms() < last_ms {
         tokio::time::sleep(DRAIN_LOOK).await;
--- a/lovageridge/src/gateway/serve.rs
+++ b/lovageridge/src/gateway/serve.rs
@@ -40,6 +40,8 @@
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 /// When to come back to an instance that knows no configuration yet, in ms.
 const RETRY_STARTING_MS: u64 = 500;
+/// When to come back after an instance that is stopping refused, in ms; another one takes it.
+const RETRY_STOPPING_MS: u64 = 50;
 /// Pause after a failed accept, for descriptors to come free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -133,11 +135,9 @@
         gateway.metrics.requests_total.with_label_values(&["", refusal.cause]).inc();
         refusal.into_response(id.as_deref())
     };
-    let Some(catalog) = gateway.catalog() else {
-        return refuse(Refusal::not_run("no configuration is known yet", RETRY_STARTING_MS));
-    };
     // The body is read before any refusal, so that the answer is not lost to a reset.
-    let body = match Limited::new(body, catalog.limits.body_bytes).collect().await {
+    let limits = gateway.catalog().map_or_else(Limits::default, |catalog| catalog.limits.clone());
+    let body = match Limited::new(body, limits.body_bytes).collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) if error.is::<LengthLimitError>() => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
@@ -145,6 +145,13 @@
         }
         Err(_) => return refuse(Refusal::failed(StatusCode::BAD_REQUEST, "the body broke off")),
     };
+    if gateway.refusing.get() {
+        // What begins now might not end before the kill.
+        return refuse(Refusal::not_run("the instance is stopping", RETRY_STOPPING_MS));
+    }
+    let Some(catalog) = gateway.catalog() else {
+        return refuse(Refusal::not_run("no configuration is known yet", RETRY_STARTING_MS));
+    };
     let host = parts.headers.get(hyper::header::HOST).and_then(|host| host.to_str().ok());
     let host = host.unwrap_or("").split(':').next().unwrap_or("").to_ascii_lowercase();
     let Some(route) = catalog.route(&host, parts.uri.path()).cloned() else {
