--- a/lovageridge/src/gateway/answer.rs
+++ b/lovageridge/src/gateway/answer.rs
@@ -34,7 +34,7 @@
 
 enum Content {
     Whole(Option<Bytes>),
-    Stream(RelayBody),
+    Stream(Box<RelayBody>),
 }
 
 /// A stream that is passed on as it arrives.
@@ -53,7 +53,7 @@
     /// Returns a stream.
     pub fn stream(relay: Relay) -> Self {
         let body = RelayBody { idle: Some(relay), next: None };
-        Self { content: Content::Stream(body), counted: None }
+        Self { content: Content::Stream(Box::new(body)), counted: None }
     }
 
     /// Keeps the count of the request until the end of the body.
@@ -144,8 +144,7 @@
     pub fn into_response(self, id: Option<&str>) -> Response<OutBody> {
         let mut headers = HeaderMap::new();
         headers::mark_own_answer(&mut headers, id);
-        headers
-            .insert(hyper::header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        headers.insert(hyper::header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         if let Some(ms) = self.retry_after_ms {
             let seconds = format!("{}.{:03}", ms / 1000, ms % 1000);
             if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -262,7 +262,9 @@
                     return Err(Refusal::not_run("no worker could be reached", RETRY_BUSY_MS));
                 }
             }
-            Sent::NotExecuted { status } => after_not_executed(gateway, call, tries, status).await?,
+            Sent::NotExecuted { status } => {
+                after_not_executed(gateway, call, tries, status).await?
+            }
             Sent::Unknown { cause } => {
                 if !may_repeat(gateway, call, tries) {
                     return Err(Refusal::failed(StatusCode::BAD_GATEWAY, cause));
@@ -399,7 +401,8 @@
         }
         let Some(target) = &call.target else {
             // A plain service has nothing to wait for: take what there is.
-            let any = find(gateway, call, tried, false).or_else(|_| find(gateway, call, &[], false));
+            let any =
+                find(gateway, call, tried, false).or_else(|_| find(gateway, call, &[], false));
             return any.map_err(|_| Refusal::not_run("no worker is left", RETRY_BUSY_MS));
         };
         let engine = call.catalog.engine(&call.service);
--- a/lovageridge/src/gateway/budget.rs
+++ b/lovageridge/src/gateway/budget.rs
@@ -58,10 +58,11 @@
         self.slice(rule, now_ms);
         let requests: u64 = self.slices.iter().map(|slice| slice.requests).sum();
         let repeats: u64 = self.slices.iter().map(|slice| slice.repeats).sum();
-        let free = rule.slack / instances.max(1);
-        let allowed = (requests * rule.permille / 1000 + free) * USED_PCT / 100;
+        // In thousandths, so that small parts of many instances are not rounded away.
+        let free = rule.slack * 1000 / instances.max(1);
+        let allowed = (requests * rule.permille + free) * USED_PCT / 100;
         // One repeat a window remains even where many instances divide a small slack.
-        let granted = repeats < allowed.max(1);
+        let granted = (repeats + 1) * 1000 <= allowed.max(1000);
         if granted {
             self.slice(rule, now_ms).repeats += 1;
         }
--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -13,7 +13,7 @@
 pub mod health;
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
 
 use crate::gateway::directory::health::Health;
 
--- a/lovageridge/src/gateway/directory/choose.rs
+++ b/lovageridge/src/gateway/directory/choose.rs
@@ -53,16 +53,15 @@
     now_ms: u64,
     mut jitter: impl FnMut() -> f64,
 ) -> Result<&'a Worker, Lack> {
-    let of_service = |worker: &&Worker| {
-        worker.record.service == need.service && !worker.record.leaving
-    };
+    let of_service =
+        |worker: &&Worker| worker.record.service == need.service && !worker.record.leaving;
     let holds = |worker: &&Worker| match need.model {
         Some(model) => worker.holds(model, need.adapter, now_ms),
         None => true,
     };
     let untried = |worker: &&Worker| {
-        !need.tried.contains(&worker.record.id)
-            && !(need.skip_avoided && worker.health.is_avoided(now_ms))
+        let avoided = need.skip_avoided && worker.health.is_avoided(now_ms);
+        !avoided && !need.tried.contains(&worker.record.id)
     };
     let ready: Vec<&Worker> = directory.iter().filter(of_service).collect();
     if ready.is_empty() {
--- a/lovageridge/src/gateway/directory/tests.rs
+++ b/lovageridge/src/gateway/directory/tests.rs
@@ -1,1 +1,162 @@
-//! Tests.
+//! Tests of workers' records and of the choice among workers.
+
+use crate::gateway::call::LoadSeen;
+use crate::gateway::directory::Change;
+use crate::gateway::directory::Directory;
+use crate::gateway::directory::Loaded;
+use crate::gateway::directory::WorkerRecord;
+use crate::gateway::directory::WorkerView;
+use crate::gateway::directory::choose::Lack;
+use crate::gateway::directory::choose::Need;
+use crate::gateway::directory::choose::choose;
+
+pub(crate) fn record(id: &str, domain: &str, models: &[&str]) -> WorkerRecord {
+    let loaded = |model: &&str| Loaded { model: (*model).to_owned(), adapters: Vec::new() };
+    WorkerRecord {
+        id: id.to_owned(),
+        service: "engine".to_owned(),
+        addr: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
+        domain: domain.to_owned(),
+        slots: 8,
+        leaving: false,
+        remaining_ms: None,
+        born_ms: 100,
+        models: models.iter().map(loaded).collect(),
+        in_memory: Vec::new(),
+        on_disk: Vec::new(),
+    }
+}
+
+fn need<'a>(model: Option<&'a str>, tried: &'a [String]) -> Need<'a> {
+    let service = "engine";
+    Need { service, model, adapter: None, domain: "a", tried, skip_avoided: true }
+}
+
+fn chosen(directory: &Directory, model: Option<&str>, now_ms: u64) -> Result<String, Lack> {
+    let worker = choose(directory, &need(model, &[]), now_ms, || 0.5)?;
+    Ok(worker.record.id.clone())
+}
+
+#[test]
+fn a_leaving_worker_gets_no_new_work_even_if_an_older_record_comes_after() {
+    let mut directory = Directory::default();
+    directory.on_record(record("w1", "a", &["m"]), 0);
+    assert_eq!(chosen(&directory, Some("m"), 1), Ok("w1".to_owned()));
+    let leaving = WorkerRecord { leaving: true, ..record("w1", "a", &["m"]) };
+    assert_eq!(directory.on_record(leaving, 2), Change::Leaving);
+    assert_eq!(chosen(&directory, Some("m"), 3), Err(Lack::NoWorker));
+    directory.on_record(record("w1", "a", &["m"]), 4);
+    assert_eq!(chosen(&directory, Some("m"), 5), Err(Lack::NoWorker));
+}
+
+#[test]
+fn a_restart_under_the_same_id_forgets_what_was_held() {
+    let mut directory = Directory::default();
+    directory.on_record(record("w1", "a", &["m"]), 0);
+    let models = vec![Loaded { model: "m".to_owned(), adapters: Vec::new() }];
+    let view = WorkerView { id: "w1".to_owned(), born_ms: 100, models };
+    assert!(directory.on_view(view.clone(), 7, 1, 1));
+    let again = WorkerRecord { born_ms: 200, ..record("w1", "a", &[]) };
+    assert_eq!(directory.on_record(again, 2), Change::Joined);
+    assert_eq!(chosen(&directory, Some("m"), 3), Err(Lack::NotHeld));
+    // What the lead says of the earlier start no longer counts.
+    assert!(!directory.on_view(view, 7, 2, 4));
+    assert_eq!(chosen(&directory, Some("m"), 5), Err(Lack::NotHeld));
+    // Neither does a record of that start.
+    assert_eq!(directory.on_record(record("w1", "a", &["m"]), 6), Change::None);
+    assert_eq!(chosen(&directory, Some("m"), 7), Err(Lack::NotHeld));
+}
+
+#[test]
+fn records_that_lapse_beside_an_outage_stay_in_use_until_they_would_be_back() {
+    let mut directory = Directory::default();
+    directory.on_record(record("back", "a", &["m"]), 0);
+    directory.on_record(record("lost", "a", &["m"]), 0);
+    assert_eq!(directory.on_removed("back", true, 1000), Change::None);
+    assert_eq!(directory.on_removed("lost", true, 1000), Change::None);
+    assert!(directory.drop_lapsed(2000).is_empty());
+    directory.on_record(record("back", "a", &["m"]), 2500);
+    assert_eq!(directory.drop_lapsed(4000), vec!["lost".to_owned()]);
+    assert_eq!(directory.on_removed("back", false, 5000), Change::Gone);
+    assert_eq!(directory.len(), 0);
+}
+
+#[test]
+fn an_older_lead_does_not_replace_what_a_newer_one_says() {
+    let mut directory = Directory::default();
+    directory.on_record(record("w1", "a", &[]), 0);
+    let view = |models: &[&str]| {
+        let models = record("w1", "a", models).models;
+        WorkerView { id: "w1".to_owned(), born_ms: 100, models }
+    };
+    assert!(directory.on_view(view(&["new"]), 9, 1, 1));
+    assert!(!directory.on_view(view(&["old"]), 8, 50, 2));
+    assert_eq!(chosen(&directory, Some("new"), 3), Ok("w1".to_owned()));
+    assert_eq!(chosen(&directory, Some("old"), 3), Err(Lack::NotHeld));
+}
+
+#[test]
+fn own_requests_count_at_once_and_spread_over_equal_workers() {
+    let mut directory = Directory::default();
+    for id in ["w1", "w2", "w3"] {
+        directory.on_record(record(id, "a", &["m"]), 0);
+    }
+    for _ in 0..9 {
+        let id = chosen(&directory, Some("m"), 1).expect("a worker");
+        directory.get_mut(&id).expect("known").on_sent(Some("m"));
+    }
+    assert!(directory.iter().all(|worker| worker.in_flight == 3));
+}
+
+#[test]
+fn a_loaded_near_worker_yields_to_an_idle_far_one() {
+    let mut directory = Directory::default();
+    directory.on_record(record("near", "a", &["m"]), 0);
+    directory.on_record(record("far", "b", &["m"]), 0);
+    assert_eq!(chosen(&directory, Some("m"), 1), Ok("near".to_owned()));
+    let load = LoadSeen { running: 6, waiting: 2 };
+    directory.get_mut("near").expect("known").on_load(load, 1);
+    assert_eq!(chosen(&directory, Some("m"), 2), Ok("far".to_owned()));
+}
+
+/// Pattern: a worker fails part of its requests while its health check is good.
+#[test]
+fn a_worker_that_fails_part_of_its_requests_gets_few_and_finds_its_way_back() {
+    let mut directory = Directory::default();
+    directory.on_record(record("grey", "a", &[]), 0);
+    directory.on_record(record("sound", "a", &[]), 0);
+    let mut to_grey = 0;
+    for now_ms in (0..6000).step_by(20) {
+        let id = chosen(&directory, None, now_ms).expect("a worker");
+        let worker = directory.get_mut(&id).expect("known");
+        let fails = id == "grey" && now_ms % 40 == 0;
+        to_grey += u32::from(id == "grey");
+        if fails {
+            worker.health.on_failure(now_ms);
+        } else {
+            worker.health.on_answer(10, now_ms);
+        }
+        worker.on_sent(None);
+        if id == "sound" || now_ms % 100 == 0 {
+            worker.on_done(None);
+        }
+    }
+    assert!(to_grey < 300 / 5, "{to_grey} of 300 went to the failing worker");
+    let grey = directory.get("grey").expect("known");
+    assert!(grey.health.failure_share(20_000) < 0.05);
+}
+
+#[test]
+fn a_worker_that_cannot_be_reached_is_avoided_for_longer_each_time_then_tried_again() {
+    let mut directory = Directory::default();
+    directory.on_record(record("w1", "a", &["m"]), 0);
+    let health = |directory: &mut Directory, now_ms| {
+        directory.get_mut("w1").expect("known").health.on_unreachable(now_ms);
+    };
+    health(&mut directory, 0);
+    assert_eq!(chosen(&directory, Some("m"), 100), Err(Lack::NoneLeft));
+    assert_eq!(chosen(&directory, Some("m"), 300), Ok("w1".to_owned()));
+    health(&mut directory, 300);
+    assert_eq!(chosen(&directory, Some("m"), 700), Err(Lack::NoneLeft));
+    assert_eq!(chosen(&directory, Some("m"), 900), Ok("w1".to_owned()));
+}
--- a/lovageridge/src/gateway/fleet/duty.rs
+++ b/lovageridge/src/gateway/fleet/duty.rs
@@ -127,9 +127,11 @@
 }
 
 async fn carry_out(gateway: Rc<Gateway>, worker: String, call: Call) {
-    let target = gateway.fleet.borrow().as_ref().and_then(|fleet| {
-        fleet.site(&worker).map(|site| (site.addr, fleet.fence()))
-    });
+    let target = gateway
+        .fleet
+        .borrow()
+        .as_ref()
+        .and_then(|fleet| fleet.site(&worker).map(|site| (site.addr, fleet.fence())));
     let Some((addr, fence)) = target else { return };
     let mut link = Link::new(addr);
     let headers = headers::control_headers(&worker);
@@ -138,9 +140,7 @@
             let path = control::REPORT_PATH;
             let asked = link.call(Method::GET, path, headers, Bytes::new(), CALL_TIMEOUT).await;
             let report = match asked {
-                Ok(answer) if answer.status_code == 200 => {
-                    control::parse_report(&answer.body).ok()
-                }
+                Ok(answer) if answer.status_code == 200 => control::parse_report(&answer.body).ok(),
                 _ => None,
             };
             if report.is_none() {
--- a/lovageridge/src/gateway/fleet/plan.rs
+++ b/lovageridge/src/gateway/fleet/plan.rs
@@ -135,8 +135,7 @@
                 && site.is_answering()
                 && !need.unreachable.contains(&site.id)
         };
-        let present =
-            self.sites.values().filter(usable).any(|site| site.is_present(&need.model));
+        let present = self.sites.values().filter(usable).any(|site| site.is_present(&need.model));
         if present {
             let adapter = need.adapter.as_deref()?;
             return self.bring_adapter(engine, need, adapter, now_ms);
@@ -174,9 +173,9 @@
         if candidates.iter().any(|site| has(site)) {
             return None;
         }
-        let free = candidates.into_iter().filter(|site| {
-            site.is_known() && !site.calling && now_ms >= site.retry_ms
-        });
+        let free = candidates
+            .into_iter()
+            .filter(|site| site.is_known() && !site.calling && now_ms >= site.retry_ms);
         let id = free
             .min_by_key(|site| {
                 let full = site.adapter_count() >= engine.adapter_places;
@@ -206,11 +205,9 @@
     ) -> Option<Place> {
         let sizes = engine.models.get(model)?;
         let has_copy = |site: &Site| site.in_memory.iter().chain(&site.on_disk).any(|m| m == model);
-        let any_copy = self
-            .sites
-            .values()
-            .any(|site| !site.leaving && site.is_answering() && site.service == service
-                && has_copy(site));
+        let any_copy = self.sites.values().any(|site| {
+            !site.leaving && site.is_answering() && site.service == service && has_copy(site)
+        });
         let mut best: Option<(f64, Place)> = None;
         for site in self.sites.values() {
             if site.service != service || !site.is_free(now_ms) || site.held.contains(model) {
@@ -227,8 +224,7 @@
             } else {
                 sizes.store_load_ms
             };
-            let Some((evict, loss_ms)) = self.make_room(engine, site, sizes.size_mb, now_ms)
-            else {
+            let Some((evict, loss_ms)) = self.make_room(engine, site, sizes.size_mb, now_ms) else {
                 continue;
             };
             if loss_ms > weight * WAIT_LOSS_MS {
@@ -307,9 +303,10 @@
 
     /// Returns the number of replicas in use or on their way.
     fn replicas(&self, service: &str, model: &str) -> usize {
-        let sites = self.sites.values().filter(|site| {
-            site.service == service && !site.leaving && site.is_answering()
-        });
+        let sites = self
+            .sites
+            .values()
+            .filter(|site| site.service == service && !site.leaving && site.is_answering());
         sites.filter(|site| site.is_present(model) || site.is_coming(model)).count()
     }
 
--- a/lovageridge/src/gateway/fleet/site.rs
+++ b/lovageridge/src/gateway/fleet/site.rs
@@ -218,9 +218,10 @@
 
     /// Tells whether `model` is on its way there.
     pub fn is_coming(&self, model: &str) -> bool {
-        let loading = self.held.get(model).is_some_and(|held| {
-            matches!(held.state, HeldState::Loading { .. })
-        });
+        let loading = self
+            .held
+            .get(model)
+            .is_some_and(|held| matches!(held.state, HeldState::Loading { .. }));
         loading || self.goal.as_ref().is_some_and(|goal| goal.model == model)
     }
 
@@ -392,7 +393,7 @@
         let busy_ms = self.busy_ms(now_ms);
         self.retry_ms = now_ms + busy_ms.clamp(CONFLICT_RETRY_MS, REPORT_RETRY_MS);
         let explained = self.has_unloading() || busy_ms > 0;
-        if !explained || self.conflicts % CONFLICTS_MAX == 0 {
+        if !explained || self.conflicts.is_multiple_of(CONFLICTS_MAX) {
             self.orders_accepted = None;
         }
     }
--- a/lovageridge/src/gateway/fleet/tests.rs
+++ b/lovageridge/src/gateway/fleet/tests.rs
@@ -1,1 +1,490 @@
-//! Tests.
+//! Tests of what the lead loads where, with simulated workers in virtual time.
+//!
+//! The workers keep their own truth: memory in use, orders accepted, requests in progress. A worker
+//! carries out one order at a time, an unload waits for its requests, and reports lag.
+
+use std::collections::VecDeque;
+
+use crate::gateway::catalog::Catalog;
+use crate::gateway::catalog::Engine;
+use crate::gateway::catalog::Limits;
+use crate::gateway::catalog::Model;
+use crate::gateway::catalog::Service;
+use crate::gateway::directory::Loaded;
+use crate::gateway::directory::WorkerRecord;
+use crate::gateway::directory::tests::record;
+use crate::gateway::fleet::Call;
+use crate::gateway::fleet::Fleet;
+use crate::gateway::orders::Order;
+use crate::gateway::orders::OrderAnswer;
+use crate::gateway::orders::OrderKind;
+use crate::gateway::orders::Report;
+use crate::gateway::peers::Demand;
+use crate::gateway::peers::Running;
+use crate::gateway::peers::Use;
+use crate::gateway::peers::Want;
+use crate::sorted::Table;
+
+const STEP_MS: u64 = 5;
+const REPORT_LAG_MS: u64 = 200;
+const DEMAND_EVERY_MS: u64 = 200;
+const DISK_MS: u64 = 1000;
+const MEMORY_MB: u64 = 200_000;
+const MODEL_MB: u64 = 65_000;
+const ADAPTER_PLACES: usize = 4;
+
+struct SimWorker {
+    born_ms: u64,
+    held: Table<String, Vec<String>>,
+    on_disk: Vec<String>,
+    accepted: u64,
+    fence: u64,
+    loading: Option<(String, u64)>,
+    unloading: Option<String>,
+    // Ends of requests in progress by model.
+    running: Vec<(String, u64)>,
+    past: VecDeque<(u64, Report)>,
+    loads: u32,
+    dark: bool,
+}
+
+struct Request {
+    model: String,
+    adapter: Option<String>,
+    arrived_ms: u64,
+    objective_ms: u64,
+}
+
+struct Served {
+    model: String,
+    waited_ms: u64,
+}
+
+struct World {
+    catalog: Catalog,
+    fleet: Fleet,
+    workers: Table<String, SimWorker>,
+    waiting: Vec<Request>,
+    arrivals: Vec<Use>,
+    served: Vec<Served>,
+    run_ms: u64,
+    now_ms: u64,
+}
+
+fn catalog(models: usize) -> Catalog {
+    let model = Model {
+        size_mb: MODEL_MB,
+        adapter_count: 0,
+        adapter_mb: 50,
+        memory_load_ms: 400,
+        disk_load_ms: DISK_MS,
+        store_load_ms: 6000,
+    };
+    let engine = Engine {
+        slots: 64,
+        memory_mb: MEMORY_MB,
+        adapter_places: ADAPTER_PLACES,
+        store_loads_per_s: 4.0,
+        models: (0..models).map(|at| (format!("m{at:02}"), model.clone())).collect(),
+    };
+    let service = Service { max_connections: 100, engine: Some(engine) };
+    let services = Table::from_iter([("engine".to_owned(), service)]);
+    Catalog::new(1, Vec::new(), services, Limits::default())
+}
+
+impl World {
+    /// Workers hold one model each, m00 on the first two; every disk has all models.
+    fn new(workers: usize, models: usize) -> Self {
+        let catalog = catalog(models);
+        let mut world = Self {
+            catalog,
+            fleet: Fleet::new(1),
+            workers: Table::new(),
+            waiting: Vec::new(),
+            arrivals: Vec::new(),
+            served: Vec::new(),
+            run_ms: 2000,
+            now_ms: 1000,
+        };
+        for at in 0..workers {
+            let first = format!("m{:02}", at.saturating_sub(1));
+            world.workers.insert(
+                format!("w{at}"),
+                SimWorker {
+                    born_ms: 100,
+                    held: Table::from_iter([(first, Vec::new())]),
+                    on_disk: (0..models).map(|at| format!("m{at:02}")).collect(),
+                    accepted: 0,
+                    fence: 0,
+                    loading: None,
+                    unloading: None,
+                    running: Vec::new(),
+                    past: VecDeque::new(),
+                    loads: 0,
+                    dark: false,
+                },
+            );
+        }
+        for record in world.records() {
+            world.fleet.on_record(&record, world.now_ms);
+        }
+        world
+    }
+
+    fn records(&self) -> Vec<WorkerRecord> {
+        let row = |(id, worker): (&String, &SimWorker)| WorkerRecord {
+            models: worker.loaded(),
+            on_disk: worker.on_disk.clone(),
+            born_ms: worker.born_ms,
+            ..record(id, "a", &[])
+        };
+        self.workers.iter().map(row).collect()
+    }
+
+    fn ask(&mut self, model: &str, adapter: Option<&str>, objective_ms: u64) {
+        let adapter = adapter.map(str::to_owned);
+        self.arrivals.push(Use {
+            service: "engine".to_owned(),
+            model: model.to_owned(),
+            adapter: adapter.clone(),
+            arrivals: 1,
+        });
+        let model = model.to_owned();
+        self.waiting.push(Request { model, adapter, arrived_ms: self.now_ms, objective_ms });
+    }
+
+    fn step(&mut self) {
+        self.now_ms += STEP_MS;
+        let now_ms = self.now_ms;
+        for (_, worker) in self.workers.iter_mut() {
+            worker.advance(now_ms);
+        }
+        self.serve_waiting();
+        if now_ms.is_multiple_of(DEMAND_EVERY_MS) || !self.waiting.is_empty() {
+            self.tell_demand();
+        }
+        for (id, call) in self.fleet.tick(&self.catalog, true, 5000, now_ms) {
+            self.carry_out(&id, call);
+        }
+    }
+
+    fn serve_waiting(&mut self) {
+        let now_ms = self.now_ms;
+        let views = self.fleet.views(now_ms);
+        let mut left = Vec::new();
+        for request in std::mem::take(&mut self.waiting) {
+            let holds = |loaded: &Loaded| {
+                loaded.model == request.model
+                    && request.adapter.as_ref().is_none_or(|name| loaded.adapters.contains(name))
+            };
+            let holding = views.iter().filter(|view| view.models.iter().any(holds));
+            let id = holding
+                .map(|view| view.id.clone())
+                .min_by_key(|id| self.workers.get(id).map_or(0, |worker| worker.running.len()));
+            let taken = id.is_some_and(|id| {
+                let worker = self.workers.get_mut(&id).expect("a worker of a view");
+                worker.take(&request.model, request.adapter.as_deref(), now_ms + self.run_ms)
+            });
+            if taken {
+                let waited_ms = now_ms - request.arrived_ms;
+                self.served.push(Served { model: request.model, waited_ms });
+            } else {
+                left.push(request);
+            }
+        }
+        self.waiting = left;
+    }
+
+    fn tell_demand(&mut self) {
+        let mut wants: Vec<Want> = Vec::new();
+        for request in &self.waiting {
+            let slack_ms = (request.arrived_ms + request.objective_ms).saturating_sub(self.now_ms);
+            let same = wants
+                .iter_mut()
+                .find(|want| want.model == request.model && want.adapter == request.adapter);
+            match same {
+                Some(want) => {
+                    want.waiting += 1;
+                    want.slack_ms = want.slack_ms.max(slack_ms);
+                }
+                None => wants.push(Want {
+                    service: "engine".to_owned(),
+                    model: request.model.clone(),
+                    adapter: request.adapter.clone(),
+                    waiting: 1,
+                    slack_ms,
+                    unreachable: Vec::new(),
+                }),
+            }
+        }
+        let mut running = Table::<(String, String), u32>::new();
+        for (id, worker) in self.workers.iter() {
+            for (model, _) in &worker.running {
+                *running.get_or_insert_with((id.clone(), model.clone()), || 0) += 1;
+            }
+        }
+        let running = running.iter().map(|((worker, model), count)| Running {
+            worker: worker.clone(),
+            model: model.clone(),
+            count: *count,
+        });
+        let uses = std::mem::take(&mut self.arrivals);
+        let demand = Demand { wants, uses, running: running.collect() };
+        self.fleet.on_demand("entry", demand, self.now_ms);
+    }
+
+    fn carry_out(&mut self, id: &str, call: Call) {
+        let now_ms = self.now_ms;
+        let worker = self.workers.get_mut(id).expect("a known worker");
+        let site = self.fleet.site_mut(id).expect("a known site");
+        match call {
+            Call::Report => site.on_report(worker.report(now_ms), now_ms),
+            Call::Order(order) => {
+                let answer = worker.on_order(&order, now_ms);
+                let load_ms = site.goal.as_ref().map_or(0, |goal| goal.load_ms);
+                site.on_answer(&order, answer, load_ms, now_ms);
+            }
+        }
+    }
+
+    fn run_ms(&mut self, time_ms: u64) {
+        let until_ms = self.now_ms + time_ms;
+        while self.now_ms < until_ms {
+            self.step();
+        }
+    }
+
+    fn replicas(&self, model: &str) -> usize {
+        self.workers.values().filter(|worker| worker.held.contains(model)).count()
+    }
+
+    fn loads(&self) -> u32 {
+        self.workers.values().map(|worker| worker.loads).sum()
+    }
+
+    fn waits_ms(&self, model: impl Fn(&str) -> bool) -> Vec<u64> {
+        let mut waits: Vec<u64> = self
+            .served
+            .iter()
+            .filter(|served| model(&served.model))
+            .map(|served| served.waited_ms)
+            .collect();
+        waits.sort_unstable();
+        waits
+    }
+}
+
+impl SimWorker {
+    fn loaded(&self) -> Vec<Loaded> {
+        let row = |(model, adapters): (&String, &Vec<String>)| Loaded {
+            model: model.clone(),
+            adapters: adapters.clone(),
+        };
+        self.held.iter().map(row).collect()
+    }
+
+    fn advance(&mut self, now_ms: u64) {
+        self.running.retain(|(_, end_ms)| now_ms < *end_ms);
+        if let Some((model, due_ms)) = self.loading.clone()
+            && now_ms >= due_ms
+        {
+            self.loading = None;
+            self.held.insert(model, Vec::new());
+        }
+        if let Some(model) = self.unloading.clone()
+            && self.running.iter().all(|(name, _)| *name != model)
+        {
+            self.unloading = None;
+            self.held.remove(model.as_str());
+        }
+        let report = Report {
+            models: self.loaded(),
+            busy: self.is_busy(),
+            orders_accepted: self.accepted,
+            on_disk: self.on_disk.clone(),
+            born_ms: self.born_ms,
+            ..Report::default()
+        };
+        self.past.push_back((now_ms, report));
+        while self.past.len() > 1 && self.past[1].0 + REPORT_LAG_MS <= now_ms {
+            self.past.pop_front();
+        }
+    }
+
+    fn is_busy(&self) -> bool {
+        self.loading.is_some() || self.unloading.is_some()
+    }
+
+    fn report(&self, _now_ms: u64) -> Option<Report> {
+        if self.dark { None } else { self.past.front().map(|(_, report)| report.clone()) }
+    }
+
+    fn used_mb(&self) -> u64 {
+        let adapters: usize = self.held.values().map(Vec::len).sum();
+        (self.held.len() + usize::from(self.loading.is_some())) as u64 * MODEL_MB
+            + adapters as u64 * 50
+    }
+
+    fn on_order(&mut self, order: &Order, now_ms: u64) -> OrderAnswer {
+        if self.dark {
+            return OrderAnswer::Unknown;
+        }
+        if order.fence < self.fence {
+            return OrderAnswer::Fenced;
+        }
+        self.fence = order.fence;
+        if order.expected != self.accepted || (self.is_busy() && order.adapter.is_none()) {
+            return OrderAnswer::Conflict;
+        }
+        self.accepted += 1;
+        match (order.kind, &order.adapter) {
+            (OrderKind::Load, None) => {
+                self.loading = Some((order.model.clone(), now_ms + DISK_MS));
+                self.loads += 1;
+            }
+            (OrderKind::Unload, None) => self.unloading = Some(order.model.clone()),
+            (OrderKind::Load, Some(adapter)) => {
+                let adapters = self.held.get_mut(order.model.as_str()).expect("the model is held");
+                adapters.push(adapter.clone());
+                adapters.sort_unstable();
+            }
+            (OrderKind::Unload, Some(adapter)) => {
+                if let Some(adapters) = self.held.get_mut(order.model.as_str()) {
+                    adapters.retain(|name| name != adapter);
+                }
+                return OrderAnswer::AlreadyHolds;
+            }
+        }
+        assert!(self.used_mb() <= MEMORY_MB, "memory exceeded: {} MB", self.used_mb());
+        let adapters: usize = self.held.values().map(Vec::len).sum();
+        assert!(adapters <= ADAPTER_PLACES, "{adapters} adapters");
+        OrderAnswer::Accepted
+    }
+
+    fn take(&mut self, model: &str, adapter: Option<&str>, end_ms: u64) -> bool {
+        let held = self.held.get(model);
+        let holds = held.is_some_and(|adapters| {
+            adapter.is_none_or(|name| adapters.iter().any(|held| held == name))
+        });
+        let going = self.unloading.as_deref() == Some(model);
+        if holds && !going && !self.dark {
+            self.running.push((model.to_owned(), end_ms));
+            return true;
+        }
+        false
+    }
+}
+
+#[test]
+fn free_memory_is_filled_before_traffic() {
+    let mut world = World::new(4, 12);
+    world.run_ms(6000);
+    let held: usize = world.workers.values().map(|worker| worker.held.len()).sum();
+    assert_eq!(held, 12, "four workers with three places each");
+    let distinct = (0..12).filter(|at| world.replicas(&format!("m{at:02}")) >= 1).count();
+    // One model began with two replicas; all other places hold a model of their own.
+    assert_eq!(distinct, 11);
+}
+
+#[test]
+fn many_requests_for_a_cold_model_cause_one_load() {
+    let mut world = World::new(4, 20);
+    world.run_ms(6000);
+    let before = world.loads();
+    for _ in 0..30 {
+        world.ask("m19", None, 3000);
+        world.run_ms(10);
+    }
+    world.run_ms(2000);
+    assert!(world.waiting.is_empty());
+    // One for the requests, and no more than one further replica for their number.
+    assert!(world.loads() - before <= 2, "{} loads", world.loads() - before);
+    assert!(world.waits_ms(|model| model == "m19").iter().all(|wait_ms| *wait_ms <= 1500));
+}
+
+/// Pattern: one model gets most requests while many rare ones are asked for at once.
+#[test]
+fn a_burst_of_rare_models_leaves_the_busy_model_loaded() {
+    let mut world = World::new(4, 30);
+    world.run_ms(6000);
+    for round in 0..400 {
+        world.ask("m00", None, 400);
+        if round >= 100 {
+            world.ask(&format!("m{:02}", 5 + round % 25), None, 2000);
+        }
+        world.run_ms(50);
+        assert!(world.replicas("m00") >= 1, "round {round}: the busy model is gone");
+    }
+    let waits = world.waits_ms(|model| model == "m00");
+    let in_time = waits.iter().filter(|wait_ms| **wait_ms <= 400).count();
+    assert!(in_time * 100 >= waits.len() * 99, "{in_time} of {} in time", waits.len());
+    let rare = world.waits_ms(|model| model != "m00").len();
+    assert!(rare >= 30, "only {rare} requests for rare models were served");
+}
+
+/// Pattern: demand moves from one model to another that no worker holds.
+#[test]
+fn a_model_that_becomes_busy_is_loaded_within_two_seconds() {
+    let mut world = World::new(4, 30);
+    world.run_ms(6000);
+    for round in 0..100 {
+        world.ask(if round < 50 { "m00" } else { "m29" }, None, 400);
+        world.run_ms(50);
+    }
+    let waits = world.waits_ms(|model| model == "m29");
+    assert_eq!(waits.len(), 50);
+    assert!(waits.last().is_some_and(|wait_ms| *wait_ms <= 2000), "{waits:?}");
+}
+
+#[test]
+fn adapters_are_brought_when_asked_for_and_make_way_for_each_other() {
+    let mut world = World::new(2, 4);
+    world.run_ms(6000);
+    for at in 0..20 {
+        world.ask("m00", Some(&format!("a{at}")), 400);
+        world.run_ms(500);
+    }
+    assert!(world.waiting.is_empty());
+    let waits = world.waits_ms(|_| true);
+    assert!(waits.last().is_some_and(|wait_ms| *wait_ms <= 400), "{waits:?}");
+}
+
+/// Pattern: a worker with the only replica falls silent.
+#[test]
+fn a_silent_workers_models_are_loaded_elsewhere() {
+    let mut world = World::new(3, 6);
+    world.run_ms(6000);
+    let id = world
+        .workers
+        .iter()
+        .find(|(_, worker)| worker.held.contains("m01"))
+        .map(|(id, _)| id.clone())
+        .expect("m01 is held");
+    for (_, worker) in world.workers.iter_mut() {
+        worker.held.retain(|model, _| model != "m05");
+    }
+    world.workers.get_mut(&id).expect("known").dark = true;
+    // The lead learns of the silence when it has an order for the worker.
+    world.ask("m01", None, 3000);
+    world.ask("m05", None, 3000);
+    world.run_ms(500);
+    world.fleet.site_mut(&id).expect("known").on_report(None, world.now_ms);
+    world.fleet.site_mut(&id).expect("known").on_report(None, world.now_ms);
+    world.run_ms(4000);
+    assert!(world.waits_ms(|model| model == "m01").len() == 1, "m01 is served elsewhere");
+}
+
+#[test]
+fn a_late_order_cannot_take_effect_after_a_newer_one() {
+    let mut world = World::new(1, 6);
+    world.run_ms(4000);
+    let worker = world.workers.get_mut("w0").expect("known");
+    let order = Order {
+        kind: OrderKind::Load,
+        model: "m05".to_owned(),
+        adapter: None,
+        expected: worker.accepted - 1,
+        fence: 1,
+    };
+    assert_eq!(worker.on_order(&order, world.now_ms), OrderAnswer::Conflict);
+}
--- a/lovageridge/src/gateway/peers/duty.rs
+++ b/lovageridge/src/gateway/peers/duty.rs
@@ -205,10 +205,7 @@
 }
 
 async fn announce(gateway: &Gateway, link: &mut Link) -> bool {
-    let text = Announcement {
-        addr: gateway.settings.peers_addr,
-        incarnation: gateway.incarnation,
-    };
+    let text = Announcement { addr: gateway.settings.peers_addr, incarnation: gateway.incarnation };
     let value = postcard::to_stdvec(&text).unwrap_or_default();
     let body = store::frame_keyed(&gateway.settings.instance_id, &value);
     let path = store::append_path(store::PEERS_TOPIC, None);
--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -126,12 +126,7 @@
 
 impl Relay {
     /// Returns a stream whose first worker answers.
-    pub fn new(
-        gateway: &Rc<Gateway>,
-        call: &Rc<Call>,
-        tries: Tries,
-        arriving: Arriving,
-    ) -> Self {
+    pub fn new(gateway: &Rc<Gateway>, call: &Rc<Call>, tries: Tries, arriving: Arriving) -> Self {
         Self {
             gateway: Rc::clone(gateway),
             call: Rc::clone(call),
@@ -217,12 +212,8 @@
             None if self.delivered => return false,
             None => None,
         };
-        let resumed = attempt::resume(
-            &self.gateway,
-            &self.call,
-            &mut self.tries,
-            last_event.as_deref(),
-        );
+        let resumed =
+            attempt::resume(&self.gateway, &self.call, &mut self.tries, last_event.as_deref());
         match resumed.await {
             Some(arriving) => {
                 let line = self.gateway.log.line(events::STREAM_RESUMED, Weight::Notable);
--- a/lovageridge/src/gateway/serve.rs
+++ b/lovageridge/src/gateway/serve.rs
@@ -188,7 +188,8 @@
     let has_worker = |service: &str| {
         directory.iter().any(|worker| worker.record.service == service && !worker.record.leaving)
     };
-    let known = route.targets.iter().filter(|(service, _)| catalog.services.contains(service.as_str()));
+    let known =
+        route.targets.iter().filter(|(service, _)| catalog.services.contains(service.as_str()));
     let mut candidates: Vec<&(String, f64)> =
         known.filter(|(service, weight)| *weight > 0.0 && has_worker(service)).collect();
     if candidates.is_empty() {
@@ -246,8 +247,7 @@
             }
         });
         tokio::task::spawn_local(async move {
-            let connection =
-                http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             // A questioner that went away needs no answer.
             let _ = connection.await;
         });
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -310,10 +310,10 @@
     };
     let now_ms = gateway.now_ms();
     gateway.store.borrow_mut().workers.insert(id.to_owned(), bytes.to_vec());
-    if let Some(fleet) = gateway.fleet.borrow_mut().as_mut() {
-        if gateway.catalog().is_some_and(|catalog| catalog.engine(&record.service).is_some()) {
-            fleet.on_record(&record, now_ms);
-        }
+    if let Some(fleet) = gateway.fleet.borrow_mut().as_mut()
+        && gateway.catalog().is_some_and(|catalog| catalog.engine(&record.service).is_some())
+    {
+        fleet.on_record(&record, now_ms);
     }
     let service = record.service.clone();
     let leaving = record.leaving;
--- a/lovageridge/src/infra/list.rs
+++ b/lovageridge/src/infra/list.rs
@@ -6,9 +6,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::outbound;
 use crate::infra::Error;
 use crate::infra::body;
+use crate::outbound;
 
 /// Service name under which the entry instances are listed.
 pub const ENTRY_SERVICE: &str = "lovageridge";
--- a/lovageridge/src/infra/log.rs
+++ b/lovageridge/src/infra/log.rs
@@ -10,9 +10,9 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::outbound;
 use crate::infra::Error;
 use crate::infra::body;
+use crate::outbound;
 
 /// Most bytes of records that one read asks for.
 const READ_MAX_BYTES: u64 = 4 * 1024 * 1024;
--- a/lovageridge/src/placement/core.rs
+++ b/lovageridge/src/placement/core.rs
@@ -8,6 +8,7 @@
 
 use crate::document::Config;
 use crate::document::Target;
+use crate::infra::list::Listed;
 use crate::leadership::claimant::Held as HeldEpoch;
 use crate::leadership::claimant::Permission;
 use crate::placement::call::Call;
@@ -22,7 +23,6 @@
 use crate::placement::pace::Pace;
 use crate::placement::record::LoadDecision;
 use crate::placement::record::Record;
-use crate::infra::list::Listed;
 use crate::sorted::Table;
 use crate::upstream::engine::Phase;
 use crate::wire::ColdAsk;
--- a/lovageridge/src/placement/tests.rs
+++ b/lovageridge/src/placement/tests.rs
@@ -3,6 +3,7 @@
 use crate::document::Config;
 use crate::document::Target;
 use crate::document::parse;
+use crate::infra::list::Listed;
 use crate::leadership::claimant::Held as HeldEpoch;
 use crate::leadership::claimant::Permission;
 use crate::placement::call::Call;
@@ -16,7 +17,6 @@
 use crate::placement::record::LoadDecision;
 use crate::placement::record::Record;
 use crate::placement::record::undone;
-use crate::infra::list::Listed;
 use crate::upstream::engine::EngineState;
 use crate::upstream::engine::Held;
 use crate::upstream::engine::Phase;
--- a/lovageridge/src/platform/settings.rs
+++ b/lovageridge/src/platform/settings.rs
@@ -36,8 +36,7 @@
     let seeds = rows.get("Seeds").copied().unwrap_or_default();
     // The port for peers is the same on all machines, so only the address of a seed matters.
     let seeds = seeds.split(',').filter_map(|seed| seed.trim().parse::<SocketAddr>().ok());
-    let seeds: Vec<SocketAddr> =
-        seeds.map(|seed| SocketAddr::new(seed.ip(), peers_port)).collect();
+    let seeds: Vec<SocketAddr> = seeds.map(|seed| SocketAddr::new(seed.ip(), peers_port)).collect();
     let builder = GatewaySettingsBuilder::new(
         required::<String>(&rows, "NodeName")?,
         required::<String>(&rows, "Zone")?,
@@ -73,11 +72,7 @@
     if rows.contains(key) { required(rows, key) } else { Ok(default) }
 }
 
-fn seconds_ms(
-    rows: &Table<&str, &str>,
-    key: &'static str,
-    default_s: f64,
-) -> Result<u64, Error> {
+fn seconds_ms(rows: &Table<&str, &str>, key: &'static str, default_s: f64) -> Result<u64, Error> {
     let value_s: f64 = optional(rows, key, default_s)?;
     Ok((value_s * 1000.0) as u64)
 }
--- a/lovageridge/src/platform/tests.rs
+++ b/lovageridge/src/platform/tests.rs
@@ -1,1 +1,181 @@
-//! Tests.
+//! Tests of the adapter: settings, records, orders, headers and the framing of the store.
+
+use hyper::HeaderMap;
+use hyper::header::HeaderName;
+use hyper::header::HeaderValue;
+use test_case::test_case;
+
+use crate::gateway::call::SendFields;
+use crate::gateway::catalog::RouteKind;
+use crate::gateway::orders::Order;
+use crate::gateway::orders::OrderAnswer;
+use crate::gateway::orders::OrderKind;
+use crate::platform::config;
+use crate::platform::control;
+use crate::platform::headers;
+use crate::platform::settings;
+use crate::platform::store;
+use crate::platform::workers;
+
+const SETTINGS: &str = "NodeName=edge-1\nZone=a\nIp=127.0.0.1\nListen.Front=127.0.0.1:8149\n\
+    Listen.Ready=127.0.0.1:8141\nInternalPorts=7380,7395\nSeeds=127.0.0.1:8144,127.0.0.2:8144\n\
+    Bounds.LeaseMs=2500\nBounds.GraceS=8\nBounds.RequireFence=true\nUnknown.Key=1\n\
+    Platform.Address=127.0.0.1:8142\n";
+
+#[test]
+fn settings_give_ports_bounds_and_the_peers_of_the_seeds() {
+    let settings = settings::parse(SETTINGS).expect("valid settings");
+    assert_eq!(settings.instance_id, "edge-1");
+    assert_eq!(settings.peers_addr.to_string(), "127.0.0.1:7380");
+    assert_eq!(settings.seeds[1].to_string(), "127.0.0.2:7380");
+    assert_eq!((settings.lease_ms, settings.grace_ms), (2500, 8000));
+    assert!(settings.workers_check);
+}
+
+#[test_case("Zone=a\n", "Zone"; "a missing key")]
+#[test_case("Platform.Address=127.0.0.1:8142\n", "Platform.Address"; "no store")]
+#[test_case("InternalPorts=7380,7395\n", "InternalPorts"; "no ports for peers")]
+fn settings_without_a_needed_key_name_it(line: &str, key: &str) {
+    let fault = settings::parse(&SETTINGS.replace(line, "")).expect_err("a fault");
+    assert!(fault.to_string().starts_with(key), "{fault}");
+}
+
+const CONFIG: &str = r#"{"Version":7,"Routes":[
+    {"Name":"r1","Host":"h.example","PathPrefix":"/a/","RouteType":"streaming","TimeoutMs":25000,
+     "TargetLatencyMs":3000,"Priority":0,"Service":"s","MaxAttempts":2,"Resumable":true},
+    {"Name":"r2","Host":"h.example","PathPrefix":"/b/","RouteType":"new_kind","TimeoutMs":1000,
+     "TrafficSplit":[{"Service":"s","Weight":90},{"Service":"t","Weight":10}]}],
+    "Services":[{"Name":"s","MaxConns":9,"Engine":{"Slots":4,"WeightsMb":200000.0,
+     "AdapterSlots":8,"LoadsPerS":3.7,"Models":[{"Name":"m","WeightsMb":34300.5,"LoadS":6.0,
+     "WarmS":0.28,"Adapters":3,"AdapterMb":40.0}]}},{"Name":"t"}],
+    "Limits":{"MaxBodyBytes":100}}"#;
+
+#[test]
+fn a_configuration_is_read_with_units_and_kinds() {
+    let catalog = config::parse(CONFIG.as_bytes()).expect("valid configuration");
+    let resumable = catalog.route("h.example", "/a/x").expect("a route");
+    assert_eq!(resumable.kind, RouteKind::Stream { resumable: true });
+    let split = catalog.route("h.example", "/b/x").expect("a route");
+    assert_eq!(split.kind, RouteKind::Once, "an unknown kind must not be repeated");
+    assert_eq!(split.targets.len(), 2);
+    let engine = catalog.engine("s").expect("an engine");
+    let model = engine.models.get("m").expect("a model");
+    assert_eq!((model.size_mb, model.memory_load_ms, model.disk_load_ms), (34_301, 280, 6000));
+    assert_eq!(catalog.limits.body_bytes, 100);
+    assert!(catalog.engine("t").is_none());
+}
+
+const WORKER: &str = r#"{"Service":"s","Address":"10.0.0.9:8080","Zone":"a","Slots":64,
+    "State":"ready","Models":[{"Name":"z","Adapters":["a2","a1"]},{"Name":"b"}],
+    "AtHand":{"InMemory":["z"],"OnDisk":["b"]},"Seq":4,"born":1783}"#;
+
+#[test]
+fn a_worker_record_is_read_in_order() {
+    let record = workers::parse("i-1", WORKER.as_bytes()).expect("valid record");
+    assert_eq!(record.models[0].model, "b");
+    assert_eq!(record.models[1].adapters, ["a1", "a2"]);
+    assert_eq!((record.born_ms, record.leaving), (1783, false));
+    assert_eq!(record.on_disk, ["b"]);
+}
+
+#[test_case("\"State\":\"ready\"", "\"State\":\"asleep\""; "unknown state")]
+#[test_case("\"Slots\":64", "\"Slots\":\"many\""; "another type")]
+#[test_case("\"Address\":\"10.0.0.9:8080\",", ""; "missing address")]
+#[test_case("10.0.0.9:8080", "nowhere"; "no address")]
+#[test_case("{\"Service\"", "\u{1}{\"Service\""; "unreadable bytes")]
+fn records_of_other_writers_name_no_worker(from: &str, to: &str) {
+    assert!(workers::parse("i-1", WORKER.replace(from, to).as_bytes()).is_err());
+}
+
+#[test]
+fn orders_name_the_expected_count_and_the_fencing_number() {
+    let order = Order {
+        kind: OrderKind::Load,
+        model: "m".to_owned(),
+        adapter: Some("a3".to_owned()),
+        expected: 2,
+        fence: 41,
+    };
+    let text = String::from_utf8(control::encode_order(&order, "node-7")).expect("text");
+    let expected = r#"{"Operation":"model_load","Model":"m","Adapter":"a3","Expected":2,"#;
+    assert!(text.starts_with(expected), "{text}");
+    assert!(text.contains(r#""Holder":"node-7","Fence":41"#), "{text}");
+    assert_eq!(control::order_answer(412), OrderAnswer::Fenced);
+    assert_eq!(control::order_answer(503), OrderAnswer::Refused { status_code: 503 });
+}
+
+#[test]
+fn reports_tell_held_and_coming_adapters() {
+    let text = r#"{"Stage":"colocated","Models":[{"Name":"m","Adapters":["a1"]}],"Busy":true,
+        "Seq":9,"Waiting":1,"Running":2,"Coming":["m/a2@3"],"born":5}"#;
+    let report = control::parse_report(text.as_bytes()).expect("valid report");
+    assert!(report.busy);
+    assert_eq!((report.orders_accepted, report.born_ms), (9, 5));
+    assert_eq!(report.coming, [("m".to_owned(), "a2".to_owned())]);
+}
+
+fn header_map(rows: &[(&'static str, &'static str)]) -> HeaderMap {
+    let row = |(name, value): &(&'static str, &'static str)| {
+        (HeaderName::from_static(name), HeaderValue::from_static(value))
+    };
+    rows.iter().map(row).collect()
+}
+
+#[test]
+fn headers_of_one_connection_and_of_the_system_do_not_pass_on() {
+    let caller = header_map(&[
+        ("x-lovageridge-attempt-id", "id1"),
+        ("x-lovageridge-deadline-ms", "9000"),
+        ("x-lovageridge-hold", "forged"),
+        ("x-lovageridge-expect-instance", "forged"),
+        ("kv-from", "forged"),
+        ("connection", "keep-alive, x-private"),
+        ("x-private", "1"),
+        ("transfer-encoding", "chunked"),
+        ("x-kept", "yes"),
+    ]);
+    let send =
+        SendFields { remaining_ms: 1200, worker_id: "i-1", urgency: Some(0), last_event: None };
+    let sent = headers::upstream_headers(&caller, &send);
+    let text = |name: &str| sent.get(name).and_then(|value| value.to_str().ok());
+    assert_eq!(text("x-lovageridge-attempt-id"), Some("id1"));
+    assert_eq!(text("x-lovageridge-deadline-ms"), Some("1200"));
+    assert_eq!(text("x-lovageridge-expect-instance"), Some("i-1"));
+    assert_eq!(text("x-kept"), Some("yes"));
+    for name in ["x-lovageridge-hold", "kv-from", "connection", "x-private", "transfer-encoding"] {
+        assert_eq!(text(name), None, "{name}");
+    }
+}
+
+#[test]
+fn an_answer_tells_id_load_and_idle_time() {
+    let outcome = headers::read_outcome(&header_map(&[
+        ("x-lovageridge-attempt-id", "id1"),
+        ("x-lovageridge-server-load", "3,1,8"),
+        ("keep-alive", "timeout=5, max=100"),
+        ("connection", "close"),
+    ]));
+    assert_eq!(outcome.id.as_deref(), Some("id1"));
+    assert_eq!(outcome.load.map(|load| (load.running, load.waiting)), Some((3, 1)));
+    assert_eq!(outcome.idle_timeout_ms, Some(5000));
+    assert!(outcome.closes && !outcome.sealed && !outcome.not_executed);
+}
+
+#[test]
+fn records_of_the_store_survive_their_framing() {
+    let mut answer = Vec::new();
+    answer.extend_from_slice(&12_u64.to_be_bytes());
+    answer.extend_from_slice(&10_u64.to_be_bytes());
+    answer.extend_from_slice(&store::frame_keyed("k", b"v1"));
+    answer.extend_from_slice(&store::frame(b"plain"));
+    let tail = store::parse_tail(&answer, 3).expect("valid answer");
+    assert_eq!(tail.end_offset, 12);
+    assert_eq!(tail.records[0].0, 10, "records before the first retained one are gone");
+    let keyed = store::parse_keyed(10, &tail.records[0].1).expect("keyed record");
+    assert_eq!((keyed.key.as_str(), keyed.value.as_slice()), ("k", b"v1".as_slice()));
+    assert_eq!(tail.records[1], (11, b"plain".to_vec()));
+    for len in 0..answer.len() - 1 {
+        let cut = store::parse_tail(&answer[..len], 3);
+        assert!(cut.is_err() || len == 16 || len == 24, "cut at {len}");
+    }
+}
--- a/standins/src/world.rs
+++ b/standins/src/world.rs
@@ -11,9 +11,9 @@
 use anyhow::anyhow;
 use lovageridge::config::record::SectionChange;
 use lovageridge::document::parse;
-use lovageridge::outbound;
 use lovageridge::infra::list::ENTRY_SERVICE;
 use lovageridge::infra::list::Listed;
+use lovageridge::outbound;
 use serde_json::Value;
 
 use crate::booking::Booking;
