Keep a removed worker in use only when found right after an outage

Change: removals found later than a second after the store's return hold at once, others until 2.3 s after the return, judged at each choice and not by a timer. Stand-ins for the platform's store and workers follow in tests.

--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -17,9 +17,6 @@
 
 use crate::gateway::directory::health::Health;
 
-/// Time for which a worker whose record lapsed beside an outage of the store stays in use, in ms.
-/// Records of living workers are back two seconds after the store.
-const LAPSED_KEPT_MS: u64 = 2300;
 /// Time for which a load told by an answer counts, in ms.
 const LOAD_FRESH_MS: u64 = 1500;
 /// Time for which a worker is not asked again for a target that it said it does not hold, in ms.
@@ -98,7 +95,8 @@
     load_seen: Option<(LoadSeen, u32, u64)>,
     view: Option<View>,
     absent: Vec<(String, Option<String>, u64)>,
-    lapsed_ms: Option<u64>,
+    // Set while the record is gone but may come back.
+    kept_until_ms: Option<u64>,
 }
 
 /// What a record or its removal changed.
@@ -142,7 +140,7 @@
             worker.in_flight_by_model = by_model;
             return Change::Joined;
         }
-        worker.lapsed_ms = None;
+        worker.kept_until_ms = None;
         // A worker that has said that it leaves does not come back under this start.
         let leaving = worker.record.leaving || record.leaving;
         let change = match (worker.record.leaving, leaving) {
@@ -155,32 +153,31 @@
         change
     }
 
-    /// Takes over that a worker's record is gone.
-    ///
-    /// Beside an outage of the store the record of a living worker may have lapsed; the worker
-    /// then stays in use until its record would be back.
-    pub fn on_removed(&mut self, id: &str, beside_outage: bool, now_ms: u64) -> Change {
-        if !beside_outage {
-            return match self.workers.remove(id) {
-                Some(_) => Change::Gone,
-                None => Change::None,
-            };
-        }
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.lapsed_ms.get_or_insert(now_ms);
+    /// Takes over that a worker's record is gone; with `keep_until_ms` it may be of a living worker
+    /// whose record lapsed during an outage of the store, and the worker stays in use until then.
+    pub fn on_removed(&mut self, id: &str, keep_until_ms: Option<u64>) -> Change {
+        match (keep_until_ms, self.workers.get_mut(id)) {
+            (Some(until_ms), Some(worker)) => {
+                worker.kept_until_ms.get_or_insert(until_ms);
+                Change::None
+            }
+            (None, Some(_)) => {
+                self.workers.remove(id);
+                Change::Gone
+            }
+            (_, None) => Change::None,
         }
-        Change::None
     }
 
     /// Drops the workers whose records lapsed and did not come back; returns their ids.
     pub fn drop_lapsed(&mut self, now_ms: u64) -> Vec<String> {
         let mut gone = Vec::new();
         self.workers.retain(|id, worker| {
-            let over = worker.lapsed_ms.is_some_and(|since| now_ms >= since + LAPSED_KEPT_MS);
-            if over {
+            let stays = !worker.has_lapsed(now_ms);
+            if !stays {
                 gone.push(id.clone());
             }
-            !over
+            stays
         });
         gone
     }
@@ -242,10 +239,19 @@
             load_seen: None,
             view: None,
             absent: Vec::new(),
-            lapsed_ms: None,
+            kept_until_ms: None,
         }
     }
 
+    fn has_lapsed(&self, now_ms: u64) -> bool {
+        self.kept_until_ms.is_some_and(|until_ms| now_ms >= until_ms)
+    }
+
+    /// Tells whether it takes new work.
+    pub fn is_taking_work(&self, now_ms: u64) -> bool {
+        !self.record.leaving && !self.has_lapsed(now_ms)
+    }
+
     /// Returns the models it holds, as the lead says or, without a lead, its own record.
     pub fn models(&self, now_ms: u64) -> &[Loaded] {
         match &self.view {
--- a/lovageridge/src/gateway/directory/choose.rs
+++ b/lovageridge/src/gateway/directory/choose.rs
@@ -54,7 +54,7 @@
     mut jitter: impl FnMut() -> f64,
 ) -> Result<&'a Worker, Lack> {
     let of_service =
-        |worker: &&Worker| worker.record.service == need.service && !worker.record.leaving;
+        |worker: &&Worker| worker.record.service == need.service && worker.is_taking_work(now_ms);
     let holds = |worker: &&Worker| match need.model {
         Some(model) => worker.holds(model, need.adapter, now_ms),
         None => true,
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -21,6 +21,9 @@
 use crate::sorted::Table;
 use crate::telemetry::events;
 
+#[cfg(test)]
+mod tests;
+
 /// Time for which a read waits for a record, in ms.
 const READ_WAIT_MS: u64 = 2000;
 /// Time beyond that wait after which a read has no answer.
@@ -35,7 +38,10 @@
 /// Pause after a failed read, in ms.
 const RETRY_MS: u64 = 250;
 /// Time after the store's return in which removals may be of living workers, in ms.
-const BESIDE_OUTAGE_MS: u64 = 2500;
+const BESIDE_OUTAGE_MS: u64 = 1000;
+/// Time after the store's return until which the records of living workers are back, in ms: two
+/// seconds and a read.
+const LAPSED_BACK_MS: u64 = 2300;
 /// Failures to read that last this long count as an outage, in ms.
 const OUTAGE_MIN_MS: u64 = 800;
 
@@ -79,9 +85,11 @@
         self.failing_since_ms.is_some()
     }
 
-    /// Tells whether a removal may be of a worker that lives.
-    pub fn is_beside_outage(&self, now_ms: u64) -> bool {
-        self.is_away() || self.recovered_ms.is_some_and(|at| now_ms <= at + BESIDE_OUTAGE_MS)
+    /// Returns until when a worker stays in use whose record is found removed now; `None` when the
+    /// removal is no matter of an outage.
+    pub fn keep_removed_until_ms(&self, now_ms: u64) -> Option<u64> {
+        let recovered_ms = self.recovered_ms?;
+        (now_ms <= recovered_ms + BESIDE_OUTAGE_MS).then_some(recovered_ms + LAPSED_BACK_MS)
     }
 }
 
@@ -328,9 +336,8 @@
 }
 
 fn remove_worker(gateway: &Gateway, id: &str) {
-    let now_ms = gateway.now_ms();
-    let beside_outage = gateway.store.borrow().is_beside_outage(now_ms);
-    if gateway.directory.borrow_mut().on_removed(id, beside_outage, now_ms) == Change::Gone {
+    let keep_until_ms = gateway.store.borrow().keep_removed_until_ms(gateway.now_ms());
+    if gateway.directory.borrow_mut().on_removed(id, keep_until_ms) == Change::Gone {
         forget_worker(gateway, id);
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -18,5 +18,6 @@
 pub mod replay;
 pub mod scenario;
 pub mod store;
+pub mod users_platform;
 pub mod venture;
 pub mod world;
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -105,14 +105,26 @@
         binary: &Path,
         settings_file: &Path,
         log_file: &Path,
+    ) -> Result<Self, anyhow::Error> {
+        let settings_file = settings_file.display().to_string();
+        let arguments = ["serve".to_owned(), "--settings".to_owned(), settings_file];
+        Self::start_command(binary, &arguments, log_file)
+    }
+
+    /// Starts `binary` with `arguments`; what it prints goes to `log_file`.
+    ///
+    /// # Errors
+    /// Returns why the process cannot be started.
+    pub fn start_command(
+        binary: &Path,
+        arguments: &[String],
+        log_file: &Path,
     ) -> Result<Self, anyhow::Error> {
         let log = std::fs::OpenOptions::new().create(true).append(true).open(log_file)?;
         let child = Command::new(binary)
-            .arg("serve")
-            .arg("--settings")
-            .arg(settings_file)
+            .args(arguments)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()
             .with_context(|| format!("cannot start {}", binary.display()))?;
--- /dev/null
+++ b/standins/src/users_platform.rs
@@ -0,0 +1,7 @@
+//! Stand-ins that speak the users' platform: its store, its workers, and gateway instances between
+//! them and callers.
+
+pub mod caller;
+pub mod deployment;
+pub mod store;
+pub mod worker;
--- /dev/null
+++ b/standins/src/users_platform/deployment.rs
@@ -0,0 +1,258 @@
+//! A whole small deployment: store, workers, and gateway instances of the real binary.
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use crate::process::Process;
+use crate::process::Workspace;
+use crate::process::free_port;
+use crate::users_platform::caller::Ask;
+use crate::users_platform::store::StoreStandIn;
+use crate::users_platform::worker::Shape;
+use crate::users_platform::worker::WorkerStandIn;
+
+/// Longest wait for something that has to come about.
+const PATIENCE: Duration = Duration::from_secs(15);
+/// Pause between looks for it.
+const LOOK: Duration = Duration::from_millis(10);
+/// Lease of these deployments, in ms: short, so that tests of a takeover are.
+pub const LEASE_MS: u64 = 800;
+/// Time to stop of these deployments, in s.
+pub const GRACE_S: u64 = 6;
+
+/// A gateway instance.
+pub struct Instance {
+    /// Process.
+    pub process: Process,
+    /// Address of its callers' port.
+    pub callers: SocketAddr,
+    /// Address of its readiness port.
+    pub ready: SocketAddr,
+    /// Address of its metrics.
+    pub metrics: SocketAddr,
+    settings_file: PathBuf,
+    log_file: PathBuf,
+}
+
+/// A deployment.
+pub struct Deployment {
+    /// Store.
+    pub store: StoreStandIn,
+    /// Workers.
+    pub workers: Vec<WorkerStandIn>,
+    /// Gateway instances.
+    pub instances: Vec<Instance>,
+    binary: PathBuf,
+    workspace: Workspace,
+}
+
+/// Returns the shape of a plain worker.
+pub fn plain(work_ms: u64) -> Shape {
+    Shape {
+        service: "plain".to_owned(),
+        domain: "a".to_owned(),
+        memory_mb: 0,
+        model_mb: 0,
+        load_ms: 0,
+        models: Vec::new(),
+        on_disk: Vec::new(),
+        events: 0,
+        gap_ms: 0,
+        work_ms,
+    }
+}
+
+/// Returns the shape of a model worker with room for two models, all of them on its disk.
+pub fn engine(models: &[&str]) -> Shape {
+    Shape {
+        service: "engine".to_owned(),
+        memory_mb: 200,
+        model_mb: 90,
+        load_ms: 300,
+        models: models.iter().map(|name| (*name).to_owned()).collect(),
+        on_disk: (0..8).map(|at| format!("m{at}")).collect(),
+        events: 10,
+        gap_ms: 30,
+        ..plain(0)
+    }
+}
+
+/// Returns a configuration; `changes` replaces whole top-level fields.
+pub fn config(version: u64, changes: &serde_json::Value) -> Vec<u8> {
+    let route = |name: &str, kind: &str, service: &str, resumable: bool| {
+        json!({
+            "Name": name, "Host": "site.example", "PathPrefix": format!("/{name}/"),
+            "RouteType": kind, "TimeoutMs": 8000, "TargetLatencyMs": 300, "Priority": 0,
+            "Service": service, "MaxAttempts": 2, "Sticky": false, "Resumable": resumable,
+            "TargetGapMs": 200,
+        })
+    };
+    let model = |at: u32| {
+        json!({"Name": format!("m{at}"), "WeightsMb": 90.0, "LoadS": 2.0, "WarmS": 0.3,
+               "DiskS": 0.3, "Adapters": 0, "AdapterMb": 0.0})
+    };
+    let mut text = json!({
+        "Version": version,
+        "Routes": [
+            route("look", "idempotent", "plain", false),
+            route("book", "non_idempotent", "plain", false),
+            route("stream/once", "streaming", "engine", false),
+            route("stream/again", "streaming", "engine", true),
+        ],
+        "Services": [
+            {"Name": "plain", "HealthPath": "/healthz", "MaxConns": 100},
+            {"Name": "engine", "HealthPath": "/healthz", "MaxConns": 100, "Engine": {
+                "Slots": 8, "WeightsMb": 200.0, "AdapterSlots": 0, "LoadsPerS": 4.0,
+                "Models": (0..8).map(model).collect::<Vec<_>>()}},
+        ],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 65536, "HeaderTimeoutMs": 1000,
+                   "IdleTimeoutMs": 2000},
+    });
+    if let Some(changes) = changes.as_object() {
+        for (key, value) in changes {
+            text[key] = value.clone();
+        }
+    }
+    text.to_string().into_bytes()
+}
+
+/// Waits until `holds`; tells whether it came about.
+pub fn wait_for(mut holds: impl FnMut() -> bool) -> bool {
+    let until = Instant::now() + PATIENCE;
+    while Instant::now() < until {
+        if holds() {
+            return true;
+        }
+        std::thread::sleep(LOOK);
+    }
+    false
+}
+
+impl Deployment {
+    /// Starts a store with a configuration, `workers` and `instances` gateway instances, and waits
+    /// until these are ready.
+    ///
+    /// # Errors
+    /// Returns what could not be started.
+    pub fn start(
+        binary: impl Into<PathBuf>,
+        workers: Vec<(&str, Shape)>,
+        instances: usize,
+    ) -> Result<Self, anyhow::Error> {
+        let store = StoreStandIn::start()?;
+        store.put("keyed.op", "config", &config(1, &json!({})));
+        let workers = workers.into_iter().map(|(id, shape)| WorkerStandIn::start(id, shape));
+        let mut deployment = Self {
+            store,
+            workers: workers.collect::<Result<_, _>>()?,
+            instances: Vec::new(),
+            binary: binary.into(),
+            workspace: Workspace::new()?,
+        };
+        for worker in &deployment.workers {
+            deployment.announce(worker, "ready");
+        }
+        for at in 0..instances {
+            deployment.add_instance(&format!("edge-{at}"))?;
+        }
+        for instance in &deployment.instances {
+            anyhow::ensure!(wait_for(|| instance.is_ready()), "an instance does not become ready");
+        }
+        Ok(deployment)
+    }
+
+    /// Writes a worker's record.
+    pub fn announce(&self, worker: &WorkerStandIn, state: &str) {
+        self.store.put("keyed.servers", worker.id(), &worker.record(state));
+    }
+
+    /// Starts a further instance; the first one is its seed.
+    ///
+    /// # Errors
+    /// Returns why it cannot be started.
+    pub fn add_instance(&mut self, name: &str) -> Result<(), anyhow::Error> {
+        let port = || free_port().map(|port| SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
+        let (callers, ready, metrics) = (port()?, port()?, port()?);
+        // Every instance has an address of its own, as peers share one port number.
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2 + self.instances.len() as u8));
+        let peers_port = match self.instances.first() {
+            Some(first) => first.metrics.port() - 1,
+            None => metrics.port() - 1,
+        };
+        let text = format!(
+            "NodeName={name}\nZone=a\nIp={ip}\nListen.Front={callers}\nListen.Ready={ready}\n\
+             InternalPorts={peers_port},{}\nSeeds=127.0.0.2:1\nPlatform.Address={}\n\
+             Bounds.LeaseMs={LEASE_MS}\nBounds.GraceS={GRACE_S}\nBounds.RequireFence=true\n\
+             Bounds.BudgetSlack=50\n",
+            peers_port + 8,
+            self.store.addr()
+        );
+        let settings_file = self.workspace.write(&format!("{name}.conf"), &text)?;
+        let log_file = self.workspace.path().join(format!("{name}.log"));
+        let process = start(&self.binary, &settings_file, &log_file)?;
+        let metrics = SocketAddr::new(ip, peers_port + 1);
+        let instance = Instance { process, callers, ready, metrics, settings_file, log_file };
+        self.instances.push(instance);
+        Ok(())
+    }
+
+    /// Starts an instance again that has ended.
+    ///
+    /// # Errors
+    /// Returns why it cannot be started.
+    pub fn restart(&mut self, at: usize) -> Result<(), anyhow::Error> {
+        let instance = &mut self.instances[at];
+        instance.process = start(&self.binary, &instance.settings_file, &instance.log_file)?;
+        Ok(())
+    }
+
+    /// Returns the worker with `id`.
+    pub fn worker(&self, id: &str) -> &WorkerStandIn {
+        let found = self.workers.iter().find(|worker| worker.id() == id);
+        found.expect("a worker of the deployment")
+    }
+
+    /// Returns the instance that leads, once one does.
+    pub fn lead(&self) -> Option<usize> {
+        self.instances.iter().position(|instance| instance.metric("gateway_leads ") == Some(1.0))
+    }
+
+    /// Ends everything.
+    pub fn close(mut self) {
+        for instance in &mut self.instances {
+            instance.process.kill();
+        }
+        for worker in self.workers {
+            worker.close();
+        }
+        self.store.close();
+        self.workspace.close();
+    }
+}
+
+fn start(binary: &Path, settings: &Path, log: &Path) -> Result<Process, anyhow::Error> {
+    let arguments = ["gateway".to_owned(), "--settings".to_owned(), settings.display().to_string()];
+    Process::start_command(binary, &arguments, log)
+}
+
+impl Instance {
+    /// Tells whether it says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let ask = Ask::get("/lovageridge/readiness", "ready");
+        ask.send(self.ready).is_ok_and(|reply| reply.status_code == 200)
+    }
+
+    /// Returns the value of the first metric whose line starts with `start`.
+    pub fn metric(&self, start: &str) -> Option<f64> {
+        let reply = Ask::get("/metrics", "metrics").send(self.metrics).ok()?;
+        let line = reply.body.lines().find(|line| line.starts_with(start))?.to_owned();
+        line.rsplit(' ').next()?.parse().ok()
+    }
+}
