--- a/lovageridge/src/cli/check.rs
+++ b/lovageridge/src/cli/check.rs
@@ -8,6 +8,7 @@
 use crate::cli::options::CheckOptions;
 use crate::document::parse;
 use crate::ini::Fault;
+use crate::platform;
 use crate::settings::Settings;
 
 /// Checks the files that the arguments name.
@@ -15,8 +16,10 @@
 /// # Errors
 /// Returns the number of faults; the faults themselves are printed.
 pub fn run(options: &CheckOptions) -> Result<(), Exit> {
-    if options.settings.is_none() && options.document.is_none() {
-        return Err(Exit::new(EXIT_USAGE, "name --settings or --document"));
+    let named = [&options.settings, &options.document, &options.platform_settings];
+    if named.iter().all(|file| file.is_none()) {
+        let message = "name --settings, --document or --platform-settings";
+        return Err(Exit::new(EXIT_USAGE, message));
     }
     let mut faults: Vec<(String, Fault)> = Vec::new();
     if let Some(file) = &options.settings {
@@ -26,6 +29,11 @@
     if let Some(file) = &options.document {
         collect(&mut faults, file, check_document(&read(file)?));
     }
+    if let Some(file) = &options.platform_settings {
+        let result = platform::settings::parse(&read(file)?).map(drop);
+        let result = result.map_err(|fault| vec![platform_fault(&fault)]);
+        collect(&mut faults, file, result);
+    }
     print(&faults, options.json);
     if faults.is_empty() {
         return Ok(());
@@ -33,6 +41,14 @@
     Err(Exit::new(EXIT_INVALID, format!("{} faults", faults.len())))
 }
 
+/// Returns the fault of a settings file that has no sections.
+fn platform_fault(fault: &platform::Error) -> Fault {
+    match fault {
+        platform::Error::Field { field, reason } => Fault::new("", field, reason.clone()),
+        platform::Error::Json(error) => Fault::new("", "", error.to_string()),
+    }
+}
+
 /// Checks the text of a whole document.
 ///
 /// # Errors
--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -68,6 +68,9 @@
 /// Longest time between looks for a worker while a request waits.
 const WAIT_LOOK: Duration = Duration::from_millis(120);
 
+/// Result of a send that its worker did not run.
+const NOT_EXECUTED: &str = "not_executed";
+
 /// A request that has been read.
 pub struct Call {
     /// Method.
@@ -188,6 +191,8 @@
     pub workers: Vec<String>,
     /// Sends, repeated ones included.
     pub sends: u32,
+    /// Sends after which the request may have run.
+    pub runs: u32,
     connect_failures: u32,
     same_worker: u32,
 }
@@ -283,7 +288,7 @@
 /// Returns the time that a send gets before another worker is tried, in ms.
 fn send_limit_ms(gateway: &Gateway, call: &Call, tries: &Tries, chosen: &Chosen) -> u64 {
     let left_ms = call.give_up_ms.saturating_sub(gateway.now_ms());
-    let more_tries = (tries.workers.len() as u32 + 1) < call.route.max_workers;
+    let more_tries = tries.runs + 1 < call.route.max_workers;
     if !call.route.kind.may_repeat() || !more_tries {
         return left_ms;
     }
@@ -304,7 +309,7 @@
 /// Tells whether a request that may have run can go to another worker.
 fn may_repeat(gateway: &Gateway, call: &Call, tries: &Tries) -> bool {
     call.route.kind.may_repeat()
-        && (tries.workers.len() as u32) < call.route.max_workers
+        && tries.runs < call.route.max_workers
         && gateway.now_ms() < call.give_up_ms
         && gateway.take_repeat(&call.service)
 }
@@ -320,7 +325,7 @@
     if now_ms + SAME_WORKER_PAUSE_MS >= call.give_up_ms {
         return Err(refusal);
     }
-    if (tries.workers.len() as u32) < call.route.max_workers {
+    if tries.sends < call.route.max_workers {
         return if gateway.take_repeat(&call.service) { Ok(()) } else { Err(refusal) };
     }
     // A worker that is just loading the model takes the request a moment later.
@@ -414,7 +419,7 @@
             return Err(Refusal::not_run("the model was not loaded in time", RETRY_COLD_MS));
         }
         if waiting.is_none() {
-            let ticket = gateway.waits.borrow_mut().add(target, call.objective_at_ms());
+            let ticket = gateway.waits.borrow_mut().add(target, call.objective_at_ms(), tried);
             waiting = Some(Waiting { gateway, target, ticket });
             gateway.demand_due.notify_one();
         }
@@ -496,7 +501,7 @@
     note_answer(gateway, call, chosen, &outcome, response.status(), now_ms - started_ms);
     let status = response.status();
     if outcome.not_executed || status == StatusCode::MISDIRECTED_REQUEST {
-        count_send(gateway, call, tries, chosen, "not_executed");
+        count_send(gateway, call, tries, chosen, NOT_EXECUTED);
         log_send(gateway, call, chosen, "not executed", status.as_str());
         return Sent::NotExecuted { status };
     }
@@ -549,6 +554,7 @@
     result: &'static str,
 ) {
     tries.sends += 1;
+    tries.runs += u32::from(result != NOT_EXECUTED);
     if !tries.workers.contains(&chosen.id) {
         tries.workers.push(chosen.id.clone());
     }
@@ -675,6 +681,11 @@
     answer
 }
 
+/// Tells whether another worker could continue a stream at once.
+pub fn can_switch(gateway: &Gateway, call: &Call, tries: &Tries) -> bool {
+    tries.runs < call.route.max_workers && find(gateway, call, &tries.workers, true).is_ok()
+}
+
 /// Sends the rest of a stream to another worker; `None` when there is none in time.
 pub async fn resume(
     gateway: &Rc<Gateway>,
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -53,7 +53,7 @@
     /// Time within which the most urgent of them still meets its objective, in ms; none has any
     /// left when this is 0.
     pub slack_ms: u64,
-    /// Workers that hold the target but cannot be reached from there.
+    /// Workers that hold the target but are of no use there: not reached, or tried already.
     pub unreachable: Vec<String>,
 }
 
--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -121,6 +121,7 @@
     Data(Bytes),
     End,
     Broke(&'static str),
+    Silent,
     OutOfTime,
 }
 
@@ -165,9 +166,15 @@
                     return (rest, self);
                 }
                 Read::OutOfTime => return self.break_off("the time limit has passed"),
+                // Silence alone is no reason to end a stream that nobody else can continue.
+                Read::Silent if !attempt::can_switch(&self.gateway, &self.call, &self.tries) => {}
+                Read::Silent => {
+                    if !self.switch("the worker fell silent").await {
+                        return self.break_off("the worker fell silent");
+                    }
+                }
                 Read::Broke(cause) => {
-                    self.note_broken(cause);
-                    if !self.resumable || !self.resume().await {
+                    if !self.switch(cause).await {
                         return self.break_off(cause);
                     }
                 }
@@ -204,6 +211,12 @@
             .close();
     }
 
+    /// Leaves the worker and goes on at another one; tells whether there is one.
+    async fn switch(&mut self, cause: &'static str) -> bool {
+        self.note_broken(cause);
+        self.resumable && self.resume().await
+    }
+
     async fn resume(&mut self) -> bool {
         self.cut.drop_partial();
         let last_event = match self.cut.last_id() {
@@ -266,7 +279,7 @@
                 Ok(Some(Err(_))) => return Read::Broke("the worker broke off"),
                 Ok(None) => return Read::End,
                 Err(_) if limit_ms == left_ms => return Read::OutOfTime,
-                Err(_) => return Read::Broke("the worker fell silent"),
+                Err(_) => return Read::Silent,
             }
         }
     }
--- a/lovageridge/src/gateway/serve.rs
+++ b/lovageridge/src/gateway/serve.rs
@@ -152,6 +152,10 @@
     let Some(catalog) = gateway.catalog() else {
         return refuse(Refusal::not_run("no configuration is known yet", RETRY_STARTING_MS));
     };
+    if fields.id.is_none() {
+        // Without an id no answer can be told from that to another request.
+        return refuse(Refusal::failed(StatusCode::BAD_REQUEST, "the request has no id"));
+    }
     let host = parts.headers.get(hyper::header::HOST).and_then(|host| host.to_str().ok());
     let host = host.unwrap_or("").split(':').next().unwrap_or("").to_ascii_lowercase();
     let Some(route) = catalog.route(&host, parts.uri.path()).cloned() else {
--- a/lovageridge/src/gateway/waits.rs
+++ b/lovageridge/src/gateway/waits.rs
@@ -19,6 +19,8 @@
 struct Waiting {
     ticket: u64,
     objective_at_ms: u64,
+    // Workers that had the request and must not get it again.
+    tried: Vec<String>,
 }
 
 /// Waiting requests by target.
@@ -35,11 +37,12 @@
         *self.arrivals.get_or_insert_with(target.clone(), || 0) += 1;
     }
 
-    /// Adds a waiting request and returns its ticket.
-    pub fn add(&mut self, target: &Target, objective_at_ms: u64) -> u64 {
+    /// Adds a waiting request that the workers `tried` had before; returns its ticket.
+    pub fn add(&mut self, target: &Target, objective_at_ms: u64, tried: &[String]) -> u64 {
         self.tickets += 1;
         let waiting = self.waiting.get_or_insert_with(target.clone(), Vec::new);
-        waiting.push(Waiting { ticket: self.tickets, objective_at_ms });
+        let tried = tried.to_vec();
+        waiting.push(Waiting { ticket: self.tickets, objective_at_ms, tried });
         self.tickets
     }
 
@@ -53,7 +56,7 @@
     }
 
     /// Returns what the lead should bring into use; `unreachable` names, for a target, the workers
-    /// that hold it but cannot be reached.
+    /// that hold it but cannot be reached. Workers that a waiting request has tried count too.
     pub fn wants(&self, unreachable: impl Fn(&Target) -> Vec<String>, now_ms: u64) -> Vec<Want> {
         let rows = self.waiting.iter().map(|(target, waiting)| Want {
             service: target.service.clone(),
@@ -65,7 +68,11 @@
                 .map(|one| one.objective_at_ms.saturating_sub(now_ms))
                 .max()
                 .unwrap_or(0),
-            unreachable: unreachable(target),
+            unreachable: waiting
+                .iter()
+                .flat_map(|one| one.tried.iter().cloned())
+                .chain(unreachable(target))
+                .collect(),
         });
         rows.collect()
     }
--- a/lovageridge/src/ini.rs
+++ b/lovageridge/src/ini.rs
@@ -33,7 +33,8 @@
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match (self.section.is_empty(), self.key.is_empty()) {
-            (true, _) => write!(f, "{}", self.message),
+            (true, true) => write!(f, "{}", self.message),
+            (true, false) => write!(f, "{}: {}", self.key, self.message),
             (false, true) => write!(f, "[{}]: {}", self.section, self.message),
             (false, false) => write!(f, "[{}] {}: {}", self.section, self.key, self.message),
         }
--- /dev/null
+++ b/lovageridge/tests/gateway.rs
@@ -0,0 +1,38 @@
+//! The gateway as real processes between stand-ins of the users' platform.
+
+#[path = "gateway/faults.rs"]
+mod faults;
+#[path = "gateway/hostile.rs"]
+mod hostile;
+#[path = "gateway/lead.rs"]
+mod lead;
+#[path = "gateway/requests.rs"]
+mod requests;
+#[path = "gateway/store.rs"]
+mod store;
+
+use std::path::PathBuf;
+
+use standins::users_platform::deployment::Deployment;
+use standins::users_platform::deployment::engine;
+use standins::users_platform::deployment::plain;
+use standins::users_platform::worker::Shape;
+
+fn binary() -> PathBuf {
+    PathBuf::from(env!("CARGO_BIN_EXE_lovageridge"))
+}
+
+/// Starts a deployment of `workers` and as many instances as named.
+fn deployment(workers: Vec<(&str, Shape)>, instances: usize) -> Deployment {
+    Deployment::start(binary(), workers, instances).expect("a deployment")
+}
+
+/// One plain worker and one with the models m0 and m1.
+fn small(instances: usize) -> Deployment {
+    deployment(vec![("p0", plain(20)), ("e0", engine(&["m0", "m1"]))], instances)
+}
+
+/// Returns the events 1 to `count` as the stand-ins write them.
+fn events(count: u64) -> String {
+    (1..=count).map(|id| format!("id: {id}\ndata: token {id}\n\n")).collect()
+}
--- /dev/null
+++ b/lovageridge/tests/gateway/hostile.rs
@@ -0,0 +1,93 @@
+//! Callers that send too much, too slowly, or what is not a request.
+
+use std::thread;
+use std::time::Duration;
+
+use standins::users_platform::caller::Ask;
+use standins::users_platform::caller::Caller;
+use test_case::test_case;
+
+use crate::small;
+
+#[test_case("GET /look/1 HTTP/1.1\r\nHost: site.example\r\nX-Lovageridge-Attempt-Id: id\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\nGET /look/2 HTTP/1.1\r\nHost: site.example\r\nX-Lovageridge-Attempt-Id: id\r\n\r\n"; "two lengths")]
+#[test_case("POST /book/1 HTTP/1.1\r\nHost: site.example\r\nX-Lovageridge-Attempt-Id: id\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde"; "lengths that differ")]
+#[test_case("POST /book/1 HTTP/1.1\r\nHost: site.example\r\nX-Lovageridge-Attempt-Id: id\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"; "a broken chunk")]
+#[test_case("GET /look/1 HTTP/1.1\r\nHost: site.example\r\nX-Lovageridge-Attempt-Id: id\r\nBad Name: 1\r\n\r\n"; "a broken header")]
+#[test_case("\u{0}\u{1}\u{2}\r\n\r\n"; "no request at all")]
+fn what_is_no_proper_request_runs_nowhere_unasked(text: &str) {
+    let deployment = small(1);
+    let to = deployment.instances[0].callers;
+    let mut caller = Caller::connect(to).expect("a connection");
+    // The connection may end while the bytes are still on their way.
+    let _ = caller.write(text.as_bytes());
+    let _ = caller.read();
+    thread::sleep(Duration::from_millis(200));
+    let runs = deployment.worker("p0").runs();
+    assert!(runs.iter().all(|run| run.path == "/look/1"), "{runs:?}");
+    assert!(runs.len() <= 1, "{runs:?}");
+    let reply = Ask::get("/look/3", "after").send(to).expect("an answer");
+    assert_eq!(reply.status_code, 200);
+    deployment.close();
+}
+
+#[test]
+fn heads_and_bodies_beyond_their_limits_are_refused() {
+    let deployment = small(1);
+    let to = deployment.instances[0].callers;
+    let mut ask = Ask::get("/look/1", "id1");
+    ask.headers = format!("X-Long: {}\r\n", "x".repeat(20_000));
+    assert_eq!(ask.send(to).expect("an answer").status_code, 431);
+    let mut ask = Ask::post("/book/1", "id2");
+    ask.body = vec![b'x'; 70_000];
+    assert_eq!(ask.send(to).expect("an answer").status_code, 413);
+    assert!(deployment.worker("p0").runs().is_empty());
+    deployment.close();
+}
+
+#[test]
+fn an_idle_connection_is_closed_after_its_limit_and_not_before_four_fifths_of_it() {
+    let deployment = small(1);
+    let mut caller = Caller::connect(deployment.instances[0].callers).expect("a connection");
+    for pause_ms in [0, 1600] {
+        thread::sleep(Duration::from_millis(pause_ms));
+        caller.write(&Ask::get("/look/1", "id").bytes()).expect("sent");
+        assert_eq!(caller.read().expect("an answer").status_code, 200);
+    }
+    // The limit of this configuration is 2 s.
+    thread::sleep(Duration::from_millis(2600));
+    let sent = caller.write(&Ask::get("/look/1", "id").bytes());
+    assert!(sent.is_err() || caller.read().is_err());
+    deployment.close();
+}
+
+#[test]
+fn many_slow_callers_hold_up_nobody() {
+    let deployment = small(1);
+    let to = deployment.instances[0].callers;
+    let slow: Vec<Caller> = (0..200)
+        .map(|_| {
+            let mut caller = Caller::connect(to).expect("a connection");
+            caller.write(b"GET /look/1 HTTP/1.1\r\nHost: si").expect("sent");
+            caller
+        })
+        .collect();
+    let reply = Ask::get("/look/2", "id1").send(to).expect("an answer");
+    assert_eq!(reply.status_code, 200);
+    drop(slow);
+    deployment.close();
+}
+
+#[test]
+fn a_body_in_pieces_arrives_as_it_was_sent() {
+    let deployment = small(1);
+    let mut caller = Caller::connect(deployment.instances[0].callers).expect("a connection");
+    let head = "POST /book/1 HTTP/1.1\r\nHost: site.example\r\nX-Lovageridge-Attempt-Id: id1\r\n\
+                Transfer-Encoding: chunked\r\n\r\n";
+    for piece in [head, "3\r\nab", "c\r\n", "2\r\nde\r\n0\r\n\r\n"] {
+        caller.write(piece.as_bytes()).expect("sent");
+        thread::sleep(Duration::from_millis(30));
+    }
+    assert_eq!(caller.read().expect("an answer").status_code, 200);
+    assert_eq!(deployment.worker("p0").runs().len(), 1);
+    deployment.close();
+}
--- /dev/null
+++ b/lovageridge/tests/gateway/requests.rs
@@ -0,0 +1,168 @@
+//! What callers get, and what upstreams see, when nothing fails.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+use standins::users_platform::caller::Ask;
+use standins::users_platform::caller::Caller;
+use standins::users_platform::deployment::config;
+use standins::users_platform::deployment::wait_for;
+
+use crate::deployment;
+use crate::events;
+use crate::small;
+
+#[test]
+fn each_kind_of_request_gets_its_workers_bytes() {
+    let deployment = small(1);
+    let to = deployment.instances[0].callers;
+    let look = Ask::get("/look/1?x=%20y", "id1").send(to).expect("an answer");
+    assert_eq!((look.status_code, look.body.as_str()), (200, "GET /look/1?x=%20y by p0"));
+    assert_eq!(look.header("x-lovageridge-server-seal"), Some("seal-p0"));
+    let book = Ask::post("/book/1", "id2").send(to).expect("an answer");
+    assert_eq!((book.status_code, book.body.as_str()), (200, "POST /book/1 by p0"));
+    for path in ["/stream/once/1", "/stream/again/1"] {
+        let stream = Ask::post(path, "id3").for_model("m0").send(to).expect("an answer");
+        assert_eq!((stream.status_code, stream.whole), (200, true));
+        assert_eq!(stream.body, events(10));
+    }
+    let missing = Ask::get("/none/1", "id4").send(to).expect("an answer");
+    assert_eq!(missing.status_code, 404);
+    deployment.close();
+}
+
+#[test]
+fn upstreams_get_what_is_left_of_the_time_and_nothing_that_only_the_system_may_set() {
+    let deployment = small(1);
+    let mut ask = Ask::get("/look/1", "id1");
+    ask.deadline_ms = 60_000;
+    ask.headers =
+        "X-Lovageridge-Hold: forged\r\nKv-From: forged\r\nX-Lovageridge-Expect-Instance: \
+                   forged\r\n"
+            .to_owned();
+    let reply = ask.send(deployment.instances[0].callers).expect("an answer");
+    assert_eq!(reply.status_code, 200);
+    let runs = deployment.worker("p0").runs();
+    assert!(!runs[0].forged);
+    // The route's own limit is 8 s.
+    assert!(runs[0].deadline_ms.is_some_and(|ms| (7000..=8000).contains(&ms)), "{runs:?}");
+    deployment.close();
+}
+
+#[test]
+fn events_reach_the_caller_as_they_are_made() {
+    let deployment = small(1);
+    let mut caller = Caller::connect(deployment.instances[0].callers).expect("a connection");
+    let ask = Ask::post("/stream/once/1", "id1").for_model("m0");
+    let started = Instant::now();
+    caller.write(&ask.bytes()).expect("sent");
+    caller.read_until("token 2\n").expect("two events");
+    // Ten events take 300 ms; two of them 60 ms.
+    assert!(started.elapsed() < Duration::from_millis(180), "{:?}", started.elapsed());
+    deployment.close();
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_work_of_its_worker() {
+    let deployment = deployment(
+        vec![(
+            "e0",
+            standins::users_platform::worker::Shape {
+                events: 200,
+                ..standins::users_platform::deployment::engine(&["m0"])
+            },
+        )],
+        1,
+    );
+    let mut caller = Caller::connect(deployment.instances[0].callers).expect("a connection");
+    caller.write(&Ask::post("/stream/once/1", "id1").for_model("m0").bytes()).expect("sent");
+    caller.read_until("token 1\n").expect("an event");
+    let left = Instant::now();
+    drop(caller);
+    let ended = || deployment.worker("e0").runs().first().is_some_and(|run| run.cancelled);
+    assert!(wait_for(ended));
+    assert!(left.elapsed() < Duration::from_millis(500), "{:?}", left.elapsed());
+    deployment.close();
+}
+
+#[test]
+fn a_caller_that_leaves_while_it_waits_for_a_model_reaches_no_worker() {
+    let deployment = small(1);
+    let mut caller = Caller::connect(deployment.instances[0].callers).expect("a connection");
+    // No worker can hold a model that is on no disk within the caller's patience.
+    caller.write(&Ask::post("/stream/once/1", "id1").for_model("m7").bytes()).expect("sent");
+    thread::sleep(Duration::from_millis(100));
+    drop(caller);
+    thread::sleep(Duration::from_millis(1500));
+    assert!(deployment.worker("e0").runs().is_empty());
+    deployment.close();
+}
+
+#[test]
+fn connections_are_used_again_on_both_sides() {
+    let deployment = small(1);
+    let mut caller = Caller::connect(deployment.instances[0].callers).expect("a connection");
+    for number in 0..20 {
+        caller.write(&Ask::get("/look/1", &format!("id{number}")).bytes()).expect("sent");
+        let reply = caller.read().expect("an answer");
+        assert_eq!(reply.status_code, 200);
+        assert_eq!(reply.header("x-lovageridge-attempt-id"), Some(format!("id{number}").as_str()));
+    }
+    assert_eq!(deployment.worker("p0").runs().len(), 20);
+    deployment.close();
+}
+
+#[test]
+fn a_request_is_given_up_at_its_routes_time_limit() {
+    let deployment = deployment(vec![("p0", standins::users_platform::deployment::plain(5000))], 1);
+    let route = json!([{
+        "Name": "book", "Host": "site.example", "PathPrefix": "/book/", "Service": "plain",
+        "RouteType": "non_idempotent", "TimeoutMs": 600, "TargetLatencyMs": 100, "MaxAttempts": 1,
+    }]);
+    deployment.store.put("keyed.op", "config", &config(2, &json!({"Routes": route})));
+    let version = || deployment.instances[0].metric("gateway_config_version ") == Some(2.0);
+    assert!(wait_for(version));
+    let started = Instant::now();
+    let reply = Ask::post("/book/1", "id1").send(deployment.instances[0].callers);
+    let reply = reply.expect("an answer");
+    // The worker had the request, so nothing may promise that it has not run.
+    assert_eq!(reply.status_code, 504);
+    assert!(started.elapsed() < Duration::from_millis(1100), "{:?}", started.elapsed());
+    let ended = || deployment.worker("p0").runs()[0].cancelled;
+    assert!(wait_for(ended));
+    deployment.close();
+}
+
+#[test]
+fn a_stopping_instance_cuts_no_stream_and_refuses_what_comes_too_late() {
+    let shape = standins::users_platform::worker::Shape {
+        events: 40,
+        gap_ms: 100,
+        ..standins::users_platform::deployment::engine(&["m0"])
+    };
+    let mut deployment = deployment(vec![("e0", shape)], 1);
+    let to = deployment.instances[0].callers;
+    let long = |id: &str| {
+        let ask = Ask::post("/stream/once/1", id).for_model("m0");
+        thread::spawn(move || ask.send(to).expect("an answer"))
+    };
+    let before = long("before");
+    thread::sleep(Duration::from_millis(300));
+    deployment.instances[0].process.terminate();
+    thread::sleep(Duration::from_millis(200));
+    assert!(!deployment.instances[0].is_ready());
+    let lingering = long("lingering");
+    thread::sleep(Duration::from_millis(2700));
+    let late = Ask::post("/stream/once/1", "late").for_model("m0").send(to).expect("an answer");
+    assert_eq!(late.status_code, 503);
+    assert!(late.header("retry-after").is_some());
+    for stream in [before, lingering] {
+        let reply = stream.join().expect("a thread");
+        assert!(reply.whole, "a stream was cut");
+        assert_eq!(reply.body, events(40));
+    }
+    assert!(deployment.instances[0].process.wait(Duration::from_secs(6)), "it ends by itself");
+    deployment.close();
+}
--- /dev/null
+++ b/lovageridge/tests/gateway/store.rs
@@ -0,0 +1,124 @@
+//! Configuration and workers' records from the store, and what goes on without it.
+
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+use standins::users_platform::caller::Ask;
+use standins::users_platform::deployment::Deployment;
+use standins::users_platform::deployment::config;
+use standins::users_platform::deployment::plain;
+use standins::users_platform::deployment::wait_for;
+use standins::users_platform::store::Manner;
+use test_case::test_case;
+
+use crate::deployment;
+use crate::small;
+
+fn version(deployment: &Deployment, at: usize) -> Option<f64> {
+    deployment.instances[at].metric("gateway_config_version ")
+}
+
+#[test]
+fn a_newer_configuration_is_in_force_within_its_bound_and_an_older_one_never() {
+    let deployment = small(3);
+    let routes = json!([{
+        "Name": "new", "Host": "site.example", "PathPrefix": "/new/", "Service": "plain",
+        "RouteType": "idempotent", "TimeoutMs": 2000, "MaxAttempts": 1,
+    }]);
+    deployment.store.put("keyed.op", "config", &config(9, &json!({"Routes": routes})));
+    thread::sleep(Duration::from_millis(2000));
+    let asks = |path: &str, expected: u16| {
+        for instance in &deployment.instances {
+            let reply = Ask::get(path, "id1").send(instance.callers).expect("an answer");
+            assert_eq!(reply.status_code, expected, "{path}");
+        }
+    };
+    asks("/new/1", 200);
+    asks("/look/1", 404);
+    deployment.store.put("keyed.op", "config", &config(8, &json!({})));
+    thread::sleep(Duration::from_millis(1000));
+    asks("/new/1", 200);
+    asks("/look/1", 404);
+    deployment.close();
+}
+
+#[test]
+fn records_that_cannot_be_read_change_nothing() {
+    let deployment = small(1);
+    let to = deployment.instances[0].callers;
+    deployment.store.put("keyed.op", "config", b"{\"Version\":99,\"Routes\":7}");
+    deployment.store.put("keyed.op", "config2", b"\xff\xfe");
+    deployment.store.put("keyed.servers", "ghost", b"{\"Service\":\"plain\"}");
+    deployment.store.put("keyed.servers", "other", b"\x00\x01");
+    thread::sleep(Duration::from_millis(1500));
+    for number in 0..10 {
+        let reply = Ask::get("/look/1", &format!("id{number}")).send(to).expect("an answer");
+        assert_eq!(reply.status_code, 200);
+    }
+    let bad = deployment.instances[0].metric("gateway_bad_records_total{topic=\"keyed.servers\"}");
+    assert_eq!(bad, Some(2.0));
+    deployment.close();
+}
+
+#[test]
+fn an_instance_that_knows_no_configuration_is_not_ready_and_says_503() {
+    let mut deployment = small(0);
+    deployment.store.set_manner(Manner::Refusing);
+    deployment.add_instance("edge-0").expect("an instance");
+    let instance = &deployment.instances[0];
+    let answer = || Ask::get("/look/1", "id1").send(instance.callers).ok();
+    assert!(wait_for(|| answer().is_some_and(|reply| reply.status_code == 503)));
+    assert!(!instance.is_ready());
+    deployment.store.set_manner(Manner::Sound);
+    assert!(wait_for(|| instance.is_ready()));
+    assert!(answer().is_some_and(|reply| reply.status_code == 200));
+    deployment.close();
+}
+
+#[test_case(Manner::Refusing; "refusing")]
+#[test_case(Manner::Silent; "silent")]
+fn requests_are_served_without_the_store_and_a_new_instance_learns_from_a_peer(manner: Manner) {
+    let mut deployment = small(2);
+    deployment.store.set_manner(manner);
+    thread::sleep(Duration::from_millis(500));
+    for number in 0..10 {
+        let to = deployment.instances[number % 2].callers;
+        let reply = Ask::get("/look/1", &format!("id{number}")).send(to).expect("an answer");
+        assert_eq!(reply.status_code, 200);
+    }
+    deployment.instances[1].process.kill();
+    deployment.restart(1).expect("an instance");
+    assert!(wait_for(|| deployment.instances[1].is_ready()), "it learns from its peer");
+    let to = deployment.instances[1].callers;
+    assert_eq!(Ask::get("/look/1", "after").send(to).expect("an answer").status_code, 200);
+    deployment.close();
+}
+
+#[test]
+fn an_instance_reads_on_after_the_store_has_forgotten_its_history() {
+    let deployment = deployment(vec![("p0", plain(5)), ("p1", plain(5))], 1);
+    deployment.store.set_manner(Manner::Refusing);
+    thread::sleep(Duration::from_millis(1200));
+    deployment.store.put("keyed.op", "config", &config(5, &json!({})));
+    deployment.store.put("keyed.servers", "p0", b"");
+    deployment.store.forget_history("keyed.op");
+    deployment.store.forget_history("keyed.servers");
+    deployment.store.set_manner(Manner::Sound);
+    assert!(wait_for(|| version(&deployment, 0) == Some(5.0)));
+    let gone = || deployment.instances[0].metric("gateway_workers ") == Some(1.0);
+    assert!(wait_for(gone), "the worker without a record is dropped");
+    deployment.close();
+}
+
+#[test]
+fn an_idle_instance_asks_the_store_little() {
+    let deployment = small(2);
+    thread::sleep(Duration::from_millis(2000));
+    let before = deployment.store.calls();
+    thread::sleep(Duration::from_millis(4000));
+    let per_s = (deployment.store.calls() - before) as f64 / 4.0;
+    // Two long reads of 2 s each an instance, and the renewals of one lead.
+    assert!(per_s <= 2.0 * 2.0 + 3.0, "{per_s} calls a second");
+    deployment.close();
+}
--- a/lovageridge/tests/integration.rs
+++ b/lovageridge/tests/integration.rs
@@ -38,6 +38,21 @@
     assert!(output.status.success(), "{output:?}");
 }
 
+#[test]
+fn the_sample_of_platform_settings_is_valid_and_its_faults_are_told() {
+    let output = run(&["check", "--platform-settings", &sample("platform.conf")]);
+    assert!(output.status.success(), "{output:?}");
+    let text = std::fs::read_to_string(sample("platform.conf")).expect("the sample");
+    let workspace = Workspace::new().expect("a folder");
+    let file =
+        workspace.write("bad.conf", &text.replace("Bounds.LeaseMs=3000", "Bounds.LeaseMs=x"));
+    let file = file.expect("a file").display().to_string();
+    let output = run(&["check", "--platform-settings", &file]);
+    workspace.close();
+    assert_eq!(output.status.code(), Some(3));
+    assert!(String::from_utf8_lossy(&output.stdout).contains("Bounds.LeaseMs"), "{output:?}");
+}
+
 #[test]
 fn faults_are_told_with_file_section_and_key() {
     let workspace = Workspace::new().expect("a folder");
--- a/standins/src/users_platform/store.rs
+++ b/standins/src/users_platform/store.rs
@@ -243,9 +243,7 @@
     fn newest(&self, name: &str) -> serde_json::Value {
         let mut state = self.lock();
         let topic = state.topic(name);
-        let row = |(key, value, offset): &(String, Vec<u8>, u64)| {
-            json!({"Key": key, "Value": STANDARD.encode(value), "Offset": offset})
-        };
+        let row = |(key, value, offset): &(String, Vec<u8>, u64)| json!({"Key": key, "Value": STANDARD.encode(value), "Offset": offset});
         let items: Vec<serde_json::Value> = topic.newest.iter().map(row).collect();
         json!({"items": items, "HasMore": false, "EndOffset": topic.end()})
     }
--- a/standins/src/users_platform/worker.rs
+++ b/standins/src/users_platform/worker.rs
@@ -205,8 +205,12 @@
 
     /// Returns the worker's own record for the store.
     pub fn record(&self, state: &str) -> Vec<u8> {
-        let held: Vec<serde_json::Value> =
-            self.shared.settled().iter().map(|name| json!({"Name": name, "Adapters": []})).collect();
+        let held: Vec<serde_json::Value> = self
+            .shared
+            .settled()
+            .iter()
+            .map(|name| json!({"Name": name, "Adapters": []}))
+            .collect();
         let shape = &self.shared.shape;
         let record = json!({
             "Service": shape.service, "Address": self.addr.to_string(), "Zone": shape.domain,
