Say not ready while cut off from the other failure domains

Ruled out: refusing only (callers return to the same domain). Change: silence of peers of all other domains together with workers there that cannot be reached takes an instance out of the balancer and refuses waits for models at once; connects take 150 ms at most. Scenarios run four side by side, those under load alone.

--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -174,7 +174,16 @@
     pub fn is_ready(&self) -> bool {
         let knows_workers =
             self.catalog().is_some_and(|catalog| self.directory.borrow().serves_any(&catalog));
-        knows_workers && !self.leaving.get()
+        knows_workers && !self.leaving.get() && !self.is_cut_off()
+    }
+
+    /// Tells whether the other failure domains cannot be reached: then callers are better served by
+    /// instances elsewhere.
+    pub fn is_cut_off(&self) -> bool {
+        let now_ms = self.now_ms();
+        let domain = &self.settings.domain;
+        self.peers.borrow().are_others_silent(domain, now_ms)
+            && self.directory.borrow().are_others_unreachable(domain, now_ms)
     }
 
     /// Returns the number of requests in progress.
--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -42,7 +42,7 @@
 use crate::telemetry::events;
 
 /// Longest time for a connection to a worker; within a region one takes 3 ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Sends to one worker again after it said that it did not run the request.
 const SAME_WORKER_SENDS: u32 = 3;
 /// Pause before such a send, in ms.
@@ -65,6 +65,9 @@
 const RETRY_BUSY_MS: u64 = 150;
 /// When to come back to a service without workers, or an instance without configuration, in ms.
 const RETRY_ABSENT_MS: u64 = 800;
+/// When to come back to an instance that is cut off, in ms: by then the balancer, which goes by two
+/// questions a second apart, sends callers elsewhere.
+const RETRY_CUT_OFF_MS: u64 = 1500;
 /// Longest time between looks for a worker while a request waits.
 const WAIT_LOOK: Duration = Duration::from_millis(120);
 
@@ -414,6 +417,9 @@
         if engine.is_some_and(|engine| !engine.models.contains(target.model.as_str())) {
             return Err(Refusal::not_run("the model is not configured", RETRY_ABSENT_MS));
         }
+        if gateway.is_cut_off() {
+            return Err(Refusal::not_run("the failure domain is cut off", RETRY_CUT_OFF_MS));
+        }
         if now_ms >= wait_until_ms {
             note_cold_wait(gateway, call);
             return Err(Refusal::not_run("the model was not loaded in time", RETRY_COLD_MS));
--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -17,6 +17,8 @@
 
 use crate::gateway::directory::health::Health;
 
+/// Time for which a try to reach a worker tells of the path to its failure domain, in ms.
+const OTHERS_TRIED_MS: u64 = 2500;
 /// Time for which a load told by an answer counts, in ms.
 const LOAD_FRESH_MS: u64 = 1500;
 /// Time for which a worker is not asked again for a target that it said it does not hold, in ms.
@@ -222,6 +224,18 @@
         self.workers.is_empty()
     }
 
+    /// Tells whether workers of other failure domains were tried lately and none answered.
+    pub fn are_others_unreachable(&self, own_domain: &str, now_ms: u64) -> bool {
+        let others = || self.iter().filter(|worker| worker.record.domain != own_domain);
+        let lately = |at_ms: u64| now_ms <= at_ms + OTHERS_TRIED_MS;
+        let tried = others().any(|worker| worker.health.unreachable_ms().is_some_and(lately));
+        let answered = others().any(|worker| {
+            let since = worker.health.unreachable_ms().unwrap_or(0);
+            worker.health.answered_ms().is_some_and(|at_ms| lately(at_ms) && at_ms >= since)
+        });
+        tried && !answered
+    }
+
     /// Tells whether some worker of a service of `catalog` is known.
     pub fn serves_any(&self, catalog: &Catalog) -> bool {
         self.iter().any(|worker| catalog.services.contains(worker.record.service.as_str()))
--- a/lovageridge/src/gateway/directory/health.rs
+++ b/lovageridge/src/gateway/directory/health.rs
@@ -17,6 +17,8 @@
     unreachable_in_row: u32,
     avoid_until_ms: u64,
     first_byte_ms: Option<f64>,
+    answered_ms: Option<u64>,
+    unreachable_ms: Option<u64>,
 }
 
 impl Health {
@@ -32,6 +34,7 @@
     pub fn on_answer(&mut self, first_byte_ms: u64, now_ms: u64) {
         self.note(false, now_ms);
         self.unreachable_in_row = 0;
+        self.answered_ms = Some(now_ms);
         self.avoid_until_ms = 0;
         let newest = first_byte_ms as f64;
         let average = self.first_byte_ms.unwrap_or(newest);
@@ -46,11 +49,22 @@
     /// Notes that the worker could not be reached or fell silent.
     pub fn on_unreachable(&mut self, now_ms: u64) {
         self.note(true, now_ms);
+        self.unreachable_ms = Some(now_ms);
         let wait_ms = AVOID_MIN_MS << self.unreachable_in_row.min(3);
         self.unreachable_in_row += 1;
         self.avoid_until_ms = now_ms + wait_ms.min(AVOID_MAX_MS);
     }
 
+    /// Returns when the worker last answered, in ms.
+    pub fn answered_ms(&self) -> Option<u64> {
+        self.answered_ms
+    }
+
+    /// Returns when the worker last could not be reached, in ms.
+    pub fn unreachable_ms(&self) -> Option<u64> {
+        self.unreachable_ms
+    }
+
     /// Avoids the worker for `wait_ms`.
     pub fn avoid(&mut self, wait_ms: u64, now_ms: u64) {
         self.avoid_until_ms = self.avoid_until_ms.max(now_ms + wait_ms);
--- a/lovageridge/src/gateway/directory/tests.rs
+++ b/lovageridge/src/gateway/directory/tests.rs
@@ -162,3 +162,29 @@
     assert_eq!(chosen(&directory, Some("m"), 700), Err(Lack::NoneLeft));
     assert_eq!(chosen(&directory, Some("m"), 900), Ok("w1".to_owned()));
 }
+
+/// Pattern: a failure domain is cut off while the store alone may also be away.
+#[test]
+fn other_domains_are_unreachable_only_when_tried_lately_and_none_answers() {
+    let mut directory = Directory::default();
+    for (id, domain) in [("near", "a"), ("far1", "b"), ("far2", "c")] {
+        directory.on_record(record(id, domain, &["m"]), 0);
+    }
+    let health = |directory: &mut Directory, id: &str, reached: bool, now_ms: u64| {
+        let worker = directory.get_mut(id).expect("known");
+        if reached {
+            worker.health.on_answer(5, now_ms);
+        } else {
+            worker.health.on_unreachable(now_ms);
+        }
+    };
+    assert!(!directory.are_others_unreachable("a", 1000), "nothing was tried");
+    health(&mut directory, "far1", true, 1000);
+    health(&mut directory, "far2", false, 1200);
+    assert!(!directory.are_others_unreachable("a", 1300), "one of them answers");
+    health(&mut directory, "far1", false, 1400);
+    health(&mut directory, "near", true, 1500);
+    assert!(directory.are_others_unreachable("a", 1600));
+    health(&mut directory, "far2", true, 2000);
+    assert!(!directory.are_others_unreachable("a", 2100), "the path is back");
+}
--- a/lovageridge/src/gateway/lead/tests.rs
+++ b/lovageridge/src/gateway/lead/tests.rs
@@ -164,20 +164,12 @@
 #[test]
 fn no_lease_is_waited_for_where_fences_are_checked() {
     let mut election = Election::new("n1", 1, 0, 0);
-    let other = LeadRecord {
-        instance_id: "n0".to_owned(),
-        incarnation: 1,
-        fence: None,
-        released: false,
-    };
+    let other =
+        LeadRecord { instance_id: "n0".to_owned(), incarnation: 1, fence: None, released: false };
     election.on_read(1, &[(0, other)], 1000);
     let claim_ms = 1000 + VALID_MS;
-    let record = LeadRecord {
-        instance_id: "n1".to_owned(),
-        incarnation: 1,
-        fence: None,
-        released: false,
-    };
+    let record =
+        LeadRecord { instance_id: "n1".to_owned(), incarnation: 1, fence: None, released: false };
     election.on_appended(&record, 1, claim_ms, claim_ms + 5);
     assert!(election.may_order(true, claim_ms + 200));
 }
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -19,6 +19,11 @@
 /// Silence after which a peer no longer counts, in ms.
 const PEER_GONE_MS: u64 = 4000;
 
+/// Silence of all other failure domains that counts as a cut, in ms: two beats and some.
+const OTHERS_SILENT_MS: u64 = 1200;
+/// Silence after which they are taken to be gone and not cut off, in ms.
+const OTHERS_FORGOTTEN_MS: u64 = 60_000;
+
 /// How new the records are that an instance has read from the store.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Progress {
@@ -124,6 +129,8 @@
 pub struct Message {
     /// Name of the sender.
     pub from: String,
+    /// Failure domain of the sender.
+    pub domain: String,
     /// Start of the sender's process.
     pub incarnation: u64,
     /// What the sender has read from the store.
@@ -146,8 +153,10 @@
 }
 
 /// Another instance.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Peer {
+    /// Failure domain; empty while it is only known by name.
+    pub domain: String,
     /// Address of its port for peers.
     pub addr: SocketAddr,
     /// Start of its process.
@@ -169,7 +178,13 @@
     pub fn on_announced(&mut self, name: &str, addr: SocketAddr, incarnation: u64) {
         let known = self.peers.get(name).is_some_and(|peer| peer.incarnation >= incarnation);
         if !known {
-            let peer = Peer { addr, incarnation, heard_ms: None, progress: Progress::default() };
+            let peer = Peer {
+                domain: String::new(),
+                addr,
+                incarnation,
+                heard_ms: None,
+                progress: Progress::default(),
+            };
             self.peers.insert(name.to_owned(), peer);
         }
     }
@@ -181,6 +196,7 @@
             return;
         }
         let peer = Peer {
+            domain: message.domain.clone(),
             addr,
             incarnation: message.incarnation,
             heard_ms: Some(now_ms),
@@ -206,6 +222,15 @@
         self.living(now_ms).count() as u64 + 1
     }
 
+    /// Tells whether peers of other failure domains were heard a while ago but not lately.
+    pub fn are_others_silent(&self, own_domain: &str, now_ms: u64) -> bool {
+        let others = self.peers.values().filter(|peer| peer.domain != own_domain);
+        let newest_ms = others.filter_map(|peer| peer.heard_ms).max();
+        newest_ms.is_some_and(|at_ms| {
+            (at_ms + OTHERS_SILENT_MS..at_ms + OTHERS_FORGOTTEN_MS).contains(&now_ms)
+        })
+    }
+
     /// Returns a living peer that has read more of the store than `own`.
     pub fn ahead_of(&self, own: Progress, now_ms: u64) -> Option<(&String, &Peer)> {
         let is_ahead = |peer: &Peer| {
--- a/lovageridge/src/gateway/peers/duty.rs
+++ b/lovageridge/src/gateway/peers/duty.rs
@@ -81,6 +81,7 @@
     let seen = lead.map(|lead| LeadSeen { fence: lead.fence, age_ms: now_ms - lead.at_ms });
     Message {
         from: gateway.settings.instance_id.clone(),
+        domain: gateway.settings.domain.clone(),
         incarnation: gateway.incarnation,
         progress: gateway.store.borrow().progress,
         lead: seen,
--- a/lovageridge/tests/scenarios.rs
+++ b/lovageridge/tests/scenarios.rs
@@ -13,8 +13,9 @@
 /// Ventures that run side by side: each keeps about one core busy, and two are left for the tests.
 const PLACES: usize = 4;
 
-/// Scenarios whose bounds are on throughput or latency under load; each runs alone.
-const ALONE: [&str; 4] = ["batch_waits", "cold_burst", "flood", "overload"];
+/// Scenarios whose bounds are on throughput or latency under load, or that use up the ports for
+/// outgoing connections; each runs alone.
+const ALONE: [&str; 5] = ["batch_waits", "bookings", "cold_burst", "flood", "overload"];
 
 static FREE: Mutex<usize> = Mutex::new(PLACES);
 static FREED: Condvar = Condvar::new();
--- a/standins/src/http.rs
+++ b/standins/src/http.rs
@@ -1,6 +1,5 @@
 //! A small HTTP server for stand-ins: a thread for each request, on a loopback port.
 
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -15,6 +14,8 @@
 use tiny_http::Response;
 use tiny_http::Server;
 
+use crate::process::listen;
+
 /// Threads that accept requests.
 const ACCEPT_THREADS: usize = 2;
 /// Longest wait for a request, so that a stop is noticed.
@@ -33,7 +34,7 @@
     /// # Errors
     /// Returns why the port cannot be had.
     pub fn start(handler: impl Fn(Request) + Send + Sync + 'static) -> Result<Self, anyhow::Error> {
-        let server = Server::http((Ipv4Addr::LOCALHOST, 0)).map_err(|e| anyhow!("{e}"))?;
+        let server = Server::from_listener(listen()?, None).map_err(|e| anyhow!("{e}"))?;
         let addr = server.server_addr().to_ip().ok_or_else(|| anyhow!("no IP address"))?;
         let server = Arc::new(server);
         let handler = Arc::new(handler);
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -90,6 +90,15 @@
     Err(anyhow!("no free port"))
 }
 
+/// Listens on a free loopback port outside the range of outgoing connections, which many short calls
+/// can use up.
+///
+/// # Errors
+/// Returns an error when no port can be found.
+pub fn listen() -> Result<TcpListener, anyhow::Error> {
+    Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, free_port()?))?)
+}
+
 /// A running instance of the real binary.
 pub struct Process {
     child: Child,
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -20,6 +20,7 @@
 use lovageridge::context::lock;
 
 use crate::process::free_port;
+use crate::process::listen;
 
 /// Time allowed for connecting to the other side.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -60,7 +61,7 @@
     /// # Errors
     /// Returns why the port cannot be had.
     pub fn start(to: SocketAddr) -> Result<Self, anyhow::Error> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listener = listen()?;
         listener.set_nonblocking(true)?;
         let addr = listener.local_addr()?;
         let shared = Arc::new(Shared {
--- a/standins/src/users_platform/worker.rs
+++ b/standins/src/users_platform/worker.rs
@@ -4,9 +4,7 @@
 
 use std::io::Read;
 use std::io::Write;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -20,6 +18,8 @@
 
 use serde_json::json;
 
+use crate::process::listen;
+
 /// Time between looks whether a caller is still there.
 const LOOK: Duration = Duration::from_millis(10);
 /// Most headers of a request.
@@ -139,7 +139,7 @@
     /// # Errors
     /// Returns why no port can be had.
     pub fn start(id: &str, shape: Shape) -> Result<Self, anyhow::Error> {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listener = listen()?;
         let addr = listener.local_addr()?;
         let state = State { held: shape.models.clone(), ..State::default() };
         let shared = Arc::new(Shared {
