--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -188,7 +188,7 @@
 }
 
 /// Sends tried for a request.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Tries {
     /// Workers that got the request.
     pub workers: Vec<String>,
@@ -669,7 +669,7 @@
 fn stream(
     gateway: &Rc<Gateway>,
     call: &Rc<Call>,
-    tries: &mut Tries,
+    tries: &Tries,
     arriving: Arriving,
 ) -> Response<OutBody> {
     let resumable = call.route.kind == RouteKind::Stream { resumable: true };
@@ -679,8 +679,7 @@
         headers.remove(hyper::header::CONTENT_LENGTH);
     }
     let status = arriving.response.status();
-    let tries = std::mem::take(tries);
-    let relay = Relay::new(gateway, call, tries, arriving);
+    let relay = Relay::new(gateway, call, tries.clone(), arriving);
     let mut answer = Response::new(OutBody::stream(relay));
     *answer.status_mut() = status;
     *answer.headers_mut() = headers;
--- a/lovageridge/src/gateway/fleet/plan.rs
+++ b/lovageridge/src/gateway/fleet/plan.rs
@@ -10,9 +10,9 @@
 use crate::gateway::fleet::site::Site;
 use crate::gateway::orders::OrderKind;
 
-/// Time between the notice that a model is given up and the order, in ms; datagrams between
-/// failure domains take 2 ms.
-const NOTICE_MS: u64 = 5;
+/// Time between the notice that a model is given up and the order, in ms: a datagram to another
+/// failure domain and one back, that tells of requests in progress there.
+const NOTICE_MS: u64 = 9;
 /// Time over which the loss of a model is judged, in s.
 const HORIZON_S: f64 = 10.0;
 /// Requests a second that a model gets for each of its adapters until its true rate is known.
@@ -23,14 +23,14 @@
 const REPLICA_LOSS: f64 = 0.08;
 /// Loss of an unload that must wait for requests in progress, in ms; meanwhile the worker can load
 /// nothing else and the model takes no requests.
-const RUNNING_LOSS_MS: f64 = 15_000.0;
+const RUNNING_LOSS_MS: f64 = 60_000.0;
 /// Loss up to which others are given up for one waiting request, in ms: about the time for which
 /// callers wait.
 const WAIT_LOSS_MS: f64 = 8000.0;
 /// Requests in progress that one replica serves well beside what else its worker does.
 const RUNNING_PER_REPLICA: u32 = 16;
-/// Requests a second from which a model has a second replica.
-const SECOND_REPLICA_RATE: f64 = 1.0;
+/// Requests a second from which a model has a replica in every failure domain.
+const DOMAIN_REPLICA_RATE: f64 = 2e9;
 /// Loss up to which others are given up for a further replica, in ms.
 const REPLICA_LOSS_MAX_MS: f64 = 1500.0;
 /// Rate from which free memory is used for a further replica, in requests a second.
@@ -60,6 +60,7 @@
     load_ms: u64,
     loss_ms: f64,
     from_store: bool,
+    evicts_running: bool,
 }
 
 impl Fleet {
@@ -76,6 +77,7 @@
         }
         self.store_loads_ms.retain(|at_ms| now_ms < at_ms + load_window_ms);
         let mut calls = Vec::new();
+        self.drop_vain_goals(now_ms);
         if may_order {
             for need in self.needs(now_ms) {
                 calls.extend(self.serve(catalog, &need, load_window_ms, now_ms));
@@ -87,6 +89,28 @@
         calls
     }
 
+    /// Drops goals whose models to give up have come into use since, and held-up goals for models
+    /// that are present elsewhere by now.
+    fn drop_vain_goals(&mut self, now_ms: u64) {
+        let mut vain = Vec::new();
+        for site in self.sites.values() {
+            let Some(goal) = &site.goal else { continue };
+            let elsewhere = || {
+                self.sites
+                    .values()
+                    .any(|other| other.service == site.service && other.is_present(&goal.model))
+            };
+            if site.is_stalled(now_ms) && elsewhere() {
+                vain.push(site.id.clone());
+            }
+        }
+        for id in vain {
+            if let Some(site) = self.sites.get_mut(id.as_str()) {
+                site.drop_goal();
+            }
+        }
+    }
+
     fn needs(&self, now_ms: u64) -> Vec<Need> {
         let fresh = self.heard.values().filter(|heard| now_ms <= heard.at_ms + DEMAND_STALE_MS);
         let mut needs: Vec<Need> = Vec::new();
@@ -140,11 +164,11 @@
             let adapter = need.adapter.as_deref()?;
             return self.bring_adapter(engine, need, adapter, now_ms);
         }
-        if self.sites.values().filter(usable).any(|site| site.is_coming(&need.model)) {
+        if self.sites.values().filter(usable).any(|site| site.is_coming(&need.model, now_ms)) {
             return None;
         }
         let weight = f64::from(need.waiting.max(1));
-        let place = self.place(engine, &need.service, &need.model, weight, now_ms)?;
+        let place = self.place(engine, &need.service, &need.model, weight, None, now_ms)?;
         self.start(place, &need.model, load_window_ms, engine, now_ms);
         None
     }
@@ -194,13 +218,15 @@
         Some((id, Call::Order(order)))
     }
 
-    /// Returns the place where `model` costs least; `weight` requests wait for it.
+    /// Returns the place where `model` costs least, in one failure domain or in any; `weight`
+    /// requests wait for it.
     fn place(
         &self,
         engine: &Engine,
         service: &str,
         model: &str,
         weight: f64,
+        within: Option<&str>,
         now_ms: u64,
     ) -> Option<Place> {
         let sizes = engine.models.get(model)?;
@@ -210,7 +236,9 @@
         });
         let mut best: Option<(f64, Place)> = None;
         for site in self.sites.values() {
-            if site.service != service || !site.is_free(now_ms) || site.held.contains(model) {
+            let elsewhere = within.is_some_and(|domain| domain != site.domain);
+            let fits = site.service == service && !site.held.contains(model);
+            if elsewhere || !fits || !site.is_free(now_ms) {
                 continue;
             }
             let from_store = !has_copy(site);
@@ -232,8 +260,17 @@
             }
             let cost = weight * load_ms as f64 + loss_ms;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-                let worker = site.id.clone();
-                best = Some((cost, Place { worker, evict, load_ms, loss_ms, from_store }));
+                let evicts_running =
+                    evict.iter().any(|name| self.running(&site.id, name, now_ms) > 0);
+                let place = Place {
+                    worker: site.id.clone(),
+                    evict,
+                    load_ms,
+                    loss_ms,
+                    from_store,
+                    evicts_running,
+                };
+                best = Some((cost, place));
             }
         }
         best.map(|(_, place)| place)
@@ -287,7 +324,7 @@
         let reload_ms = engine.models.get(model).map_or(0, |model| model.disk_load_ms);
         let rate_per_s = self.expected_rate(engine, &site.service, model, now_ms);
         let loss_ms = rate_per_s * HORIZON_S * reload_ms as f64;
-        let others = self.replicas(&site.service, model).saturating_sub(1) as u32;
+        let others = self.replicas(&site.service, model, now_ms).saturating_sub(1) as u32;
         let running = self.running_total(model, now_ms);
         let spare = others > 0 && running <= others * RUNNING_PER_REPLICA;
         let blocked = self.running(&site.id, model, now_ms) > 0;
@@ -302,12 +339,12 @@
     }
 
     /// Returns the number of replicas in use or on their way.
-    fn replicas(&self, service: &str, model: &str) -> usize {
+    fn replicas(&self, service: &str, model: &str, now_ms: u64) -> usize {
         let sites = self
             .sites
             .values()
             .filter(|site| site.service == service && !site.leaving && site.is_answering());
-        sites.filter(|site| site.is_present(model) || site.is_coming(model)).count()
+        sites.filter(|site| site.is_present(model) || site.is_coming(model, now_ms)).count()
     }
 
     fn start(
@@ -334,39 +371,57 @@
             evict: place.evict,
             from_ms: now_ms + notice_ms,
             load_ms: place.load_ms,
+            evicts_running: place.evicts_running,
         });
     }
 
+    /// Gives busy models a replica in every failure domain, so that a cut between domains leaves
+    /// their callers with one, and more where their requests pile up.
     fn add_replicas(&mut self, catalog: &Catalog, load_window_ms: u64, now_ms: u64) {
         let busy: Vec<(String, String)> = self
             .models
             .iter()
             .filter(|((_, name), model)| {
-                model.rate_per_s(now_ms) >= SECOND_REPLICA_RATE
+                model.rate_per_s(now_ms) >= DOMAIN_REPLICA_RATE
                     || self.running_total(name, now_ms) > RUNNING_PER_REPLICA
             })
             .map(|(key, _)| key.clone())
             .collect();
         for (service, model) in busy {
             let Some(engine) = catalog.engine(&service) else { continue };
-            let rate = self.rate_per_s(&service, &model, now_ms);
-            let by_rate = 1 + usize::from(rate >= SECOND_REPLICA_RATE);
+            let coming = self.sites.values().any(|site| site.is_coming(&model, now_ms));
+            if coming {
+                continue;
+            }
             let running = self.running_total(&model, now_ms);
             let by_running = 1 + (running / RUNNING_PER_REPLICA) as usize;
-            if self.replicas(&service, &model) >= by_rate.max(by_running) {
+            let domain = self.domain_without(&service, &model);
+            if domain.is_none() && self.replicas(&service, &model, now_ms) >= by_running {
                 continue;
             }
-            let coming = self.sites.values().any(|site| site.is_coming(&model));
-            if coming {
+            let within = domain.as_deref();
+            let Some(place) = self.place(engine, &service, &model, 1.0, within, now_ms) else {
                 continue;
-            }
-            let Some(place) = self.place(engine, &service, &model, 1.0, now_ms) else { continue };
+            };
             if place.loss_ms <= REPLICA_LOSS_MAX_MS && !place.from_store {
                 self.start(place, &model, load_window_ms, engine, now_ms);
             }
         }
     }
 
+    /// Returns a failure domain whose workers of `service` do not hold `model`.
+    fn domain_without(&self, service: &str, model: &str) -> Option<String> {
+        let usable = || {
+            self.sites.values().filter(|site| {
+                site.service == service && !site.leaving && site.is_answering()
+            })
+        };
+        let has = |domain: &str| {
+            usable().any(|site| site.domain == domain && site.is_present(model))
+        };
+        usable().map(|site| &site.domain).find(|domain| !has(domain)).cloned()
+    }
+
     /// Uses free memory for what is close at hand and most likely to be asked for.
     fn fill(&mut self, catalog: &Catalog, now_ms: u64) {
         let free: Vec<String> = self
@@ -386,7 +441,7 @@
                     && !site.held.contains(name.as_str())
             });
             let valued = fitting.filter_map(|name| {
-                let replicas = self.replicas(&site.service, name);
+                let replicas = self.replicas(&site.service, name, now_ms);
                 let rate = self.expected_rate(engine, &site.service, name, now_ms);
                 let wanted = replicas == 0 || rate >= FILL_REPLICA_RATE;
                 wanted.then(|| (rate * REPLICA_LOSS.powi(replicas as i32), name))
@@ -398,7 +453,8 @@
             let in_memory = site.in_memory.contains(&model);
             let Some(sizes) = engine.models.get(model.as_str()) else { continue };
             let load_ms = if in_memory { sizes.memory_load_ms } else { sizes.disk_load_ms };
-            let goal = Goal { model, evict: Vec::new(), from_ms: now_ms, load_ms };
+            let goal =
+                Goal { model, evict: Vec::new(), from_ms: now_ms, load_ms, evicts_running: false };
             if let Some(site) = self.sites.get_mut(id.as_str()) {
                 site.goal = Some(goal);
             }
--- a/lovageridge/src/gateway/fleet/site.rs
+++ b/lovageridge/src/gateway/fleet/site.rs
@@ -28,6 +28,8 @@
 const ADAPTER_READY_MS: u64 = 14;
 /// Time for which a newly loaded model is kept for those who wait for it, in ms.
 const KEEP_NEW_MS: u64 = 600;
+/// Time after which an unload is held up by requests in progress, in ms; else it takes 100 ms.
+const STALLED_MS: u64 = 350;
 /// Age of an operation from which a worker's record is held against it, in ms; records lag.
 const RECORD_LAG_MS: u64 = 2500;
 
@@ -77,6 +79,8 @@
     pub from_ms: u64,
     /// Expected time of the load itself, in ms.
     pub load_ms: u64,
+    /// Whether models with requests in progress are given up all the same.
+    pub evicts_running: bool,
 }
 
 /// A model worker.
@@ -216,13 +220,22 @@
             && !self.is_evicting(model)
     }
 
-    /// Tells whether `model` is on its way there.
-    pub fn is_coming(&self, model: &str) -> bool {
-        let loading = self
-            .held
-            .get(model)
-            .is_some_and(|held| matches!(held.state, HeldState::Loading { .. }));
-        loading || self.goal.as_ref().is_some_and(|goal| goal.model == model)
+    /// Tells whether `model` is on its way there and not held up by an unload.
+    pub fn is_coming(&self, model: &str, now_ms: u64) -> bool {
+        let held = self.held.get(model);
+        let loading = held.is_some_and(|held| matches!(held.state, HeldState::Loading { .. }));
+        let planned = self.goal.as_ref().is_some_and(|goal| goal.model == model);
+        loading || (planned && !self.is_stalled(now_ms))
+    }
+
+    /// Tells whether the goal waits for an unload that takes longer than usual.
+    pub fn is_stalled(&self, now_ms: u64) -> bool {
+        self.goal.as_ref().is_some_and(|goal| now_ms > goal.from_ms + STALLED_MS)
+    }
+
+    /// Drops the goal.
+    pub fn drop_goal(&mut self) {
+        self.goal = None;
     }
 
     fn is_evicting(&self, model: &str) -> bool {
--- a/lovageridge/src/gateway/metrics.rs
+++ b/lovageridge/src/gateway/metrics.rs
@@ -35,6 +35,8 @@
     pub bad_records_total: IntCounterVec,
     /// Datagrams to peers that could not be sent or read.
     pub datagrams_dropped_total: IntCounter,
+    /// Bytes of datagrams sent to peers.
+    pub datagram_bytes_total: IntCounter,
     /// Requests in progress.
     pub in_progress: IntGauge,
     /// Version of the configuration in force.
@@ -70,8 +72,11 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
-        let dropped = IntCounter::new("gateway_datagrams_dropped_total", "Datagrams lost here")?;
-        registry.register(Box::new(dropped.clone()))?;
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help)?;
+            registry.register(Box::new(counter.clone()))?;
+            Ok::<_, prometheus::Error>(counter)
+        };
         Ok(Self {
             requests_total: counters(
                 "gateway_requests_total",
@@ -113,7 +118,14 @@
                 "Records that could not be read",
                 &["topic"],
             )?,
-            datagrams_dropped_total: dropped,
+            datagrams_dropped_total: counter(
+                "gateway_datagrams_dropped_total",
+                "Datagrams lost here",
+            )?,
+            datagram_bytes_total: counter(
+                "gateway_datagram_bytes_total",
+                "Bytes of datagrams sent to peers",
+            )?,
             in_progress: gauge("gateway_requests_in_progress", "Requests in progress")?,
             config_version: gauge("gateway_config_version", "Version in force")?,
             workers: gauge("gateway_workers", "Workers known")?,
--- a/lovageridge/src/gateway/peers/duty.rs
+++ b/lovageridge/src/gateway/peers/duty.rs
@@ -46,9 +46,9 @@
 /// Largest snapshot, in bytes.
 const SNAPSHOT_MAX_BYTES: u64 = 16 << 20;
 /// Time between reports of demand to the lead, in ms.
-const DEMAND_MS: u64 = 200;
+const DEMAND_MS: u64 = 80;
 /// Time by which requests that begin to wait are told together, in ms.
-const DEMAND_GATHER_MS: u64 = 2;
+const DEMAND_GATHER_MS: u64 = 1;
 /// Largest datagram, in bytes.
 const DATAGRAM_MAX_BYTES: usize = 64 << 10;
 /// Silence after which a lead is no longer told to peers, in ms.
@@ -68,6 +68,7 @@
 
 /// Sends an encoded message to a peer; a datagram that is lost is made up for by a later one.
 pub fn send_bytes(gateway: &Gateway, to: SocketAddr, bytes: &[u8]) {
+    gateway.metrics.datagram_bytes_total.inc_by(bytes.len() as u64);
     if gateway.socket.try_send_to(bytes, to).is_err() {
         gateway.metrics.datagrams_dropped_total.inc();
     }
@@ -175,6 +176,8 @@
     drop(directory);
     if changed {
         gateway.changed.notify_waiters();
+        // Tells the lead at once if a model that is to be given up has requests in progress here.
+        gateway.demand_due.notify_one();
     }
 }
 
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -7,6 +7,7 @@
 use standins::limits;
 use standins::measure;
 use standins::replay;
+use standins::users_platform;
 
 /// Commands around the stand-ins of lovageridge.
 #[derive(Debug, Options)]
@@ -29,6 +30,8 @@
     Entry(measure::MeasureOptions),
     /// measure the cost of control against the size of the venture
     Control(measure::MeasureOptions),
+    /// measure control at rest and added latency of a gateway on the users' platform
+    Gateway(measure::MeasureOptions),
     /// replay keep-alive policies against baselines
     Replay(replay::ReplayOptions),
 }
@@ -40,6 +43,9 @@
         Some(Command::Limits(options)) => limits::print(&options),
         Some(Command::Entry(options)) => measure::entry(&options),
         Some(Command::Control(options)) => measure::control(&options),
+        Some(Command::Gateway(options)) => {
+            measure::binary(&options).and_then(|binary| users_platform::measure::print(&binary))
+        }
         Some(Command::Replay(options)) => replay::print(&options),
         None => {
             println!(
--- a/standins/src/measure.rs
+++ b/standins/src/measure.rs
@@ -42,7 +42,11 @@
     pub binary: Option<PathBuf>,
 }
 
-fn binary(options: &MeasureOptions) -> Result<PathBuf, anyhow::Error> {
+/// Returns the binary to measure.
+///
+/// # Errors
+/// Returns that the path of this program is not known.
+pub fn binary(options: &MeasureOptions) -> Result<PathBuf, anyhow::Error> {
     match &options.binary {
         Some(path) => Ok(path.clone()),
         None => Ok(std::env::current_exe()?.with_file_name("lovageridge")),
--- a/standins/src/users_platform.rs
+++ b/standins/src/users_platform.rs
@@ -3,5 +3,6 @@
 
 pub mod caller;
 pub mod deployment;
+pub mod measure;
 pub mod store;
 pub mod worker;
--- /dev/null
+++ b/standins/src/users_platform/measure.rs
@@ -0,0 +1,101 @@
+//! Measures a gateway instance: control at rest, and what it adds to a direct call.
+
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+
+use crate::users_platform::caller::Ask;
+use crate::users_platform::caller::Caller;
+use crate::users_platform::deployment::Deployment;
+use crate::users_platform::deployment::engine;
+use crate::users_platform::deployment::plain;
+use crate::users_platform::worker::Shape;
+
+/// Time for which instances at rest are watched.
+const REST: Duration = Duration::from_secs(10);
+/// Time to come to rest.
+const SETTLE: Duration = Duration::from_secs(3);
+/// Pairs of calls whose latency is compared.
+const PAIRS: usize = 2000;
+/// Work of the called service, in ms.
+const WORK_MS: u64 = 5;
+/// Numbers of instances and model workers that are compared.
+const SIZES: [(usize, usize); 4] = [(2, 4), (8, 4), (16, 4), (8, 24)];
+
+/// Prints the cost of control at rest against the size, then added latency.
+///
+/// # Errors
+/// Returns what could not be started.
+pub fn print(binary: &Path) -> Result<(), anyhow::Error> {
+    println!("| instances | workers | CPU % | sent B/s | store calls/s | resident KiB |");
+    println!("|---|---|---|---|---|---|");
+    for (instances, workers) in SIZES {
+        rest(binary, instances, workers)?;
+    }
+    latency(binary)
+}
+
+fn rest(binary: &Path, instances: usize, workers: usize) -> Result<(), anyhow::Error> {
+    let names: Vec<String> = (0..workers).map(|at| format!("e{at}")).collect();
+    let shapes: Vec<(&str, Shape)> =
+        names.iter().map(|name| (name.as_str(), engine(&["m0"]))).collect();
+    let deployment = Deployment::start(binary, shapes, instances)?;
+    thread::sleep(SETTLE);
+    let usage = || -> (u64, u64) {
+        let all = deployment.instances.iter().filter_map(|one| one.process.usage());
+        all.fold((0, 0), |(kib, cpu_ms), (one_kib, one_ms)| (kib + one_kib, cpu_ms + one_ms))
+    };
+    let bytes = || -> f64 {
+        let all = deployment.instances.iter();
+        all.filter_map(|one| one.metric("gateway_datagram_bytes_total ")).sum()
+    };
+    let (_, cpu_before_ms) = usage();
+    let (bytes_before, calls_before) = (bytes(), deployment.store.calls());
+    thread::sleep(REST);
+    let (kib, cpu_ms) = usage();
+    let seconds = REST.as_secs_f64();
+    let each = instances as f64;
+    println!(
+        "| {instances} | {workers} | {:.2} | {:.0} | {:.1} | {:.0} |",
+        (cpu_ms - cpu_before_ms) as f64 / 10.0 / seconds / each,
+        (bytes() - bytes_before) / seconds / each,
+        (deployment.store.calls() - calls_before) as f64 / seconds / each,
+        kib as f64 / each
+    );
+    deployment.close();
+    Ok(())
+}
+
+/// Compares calls through an instance with direct ones, in turns over kept connections.
+fn latency(binary: &Path) -> Result<(), anyhow::Error> {
+    let deployment = Deployment::start(binary, vec![("p0", plain(WORK_MS))], 1)?;
+    let mut direct = Caller::connect(deployment.worker("p0").addr())?;
+    let mut through = Caller::connect(deployment.instances[0].callers)?;
+    let mut direct_us = Histogram::<u64>::new(3)?;
+    let mut through_us = Histogram::<u64>::new(3)?;
+    for pair in 0..PAIRS {
+        direct_us.record(call_us(&mut direct, pair)?)?;
+        through_us.record(call_us(&mut through, pair)?)?;
+    }
+    for (name, times) in [("direct", &direct_us), ("through an instance", &through_us)] {
+        println!(
+            "{name}: median {} us, p99 {} us",
+            times.value_at_quantile(0.5),
+            times.value_at_quantile(0.99)
+        );
+    }
+    deployment.close();
+    Ok(())
+}
+
+fn call_us(caller: &mut Caller, number: usize) -> Result<u64, anyhow::Error> {
+    let ask = Ask::get("/look/1", &format!("id{number}"));
+    let started = Instant::now();
+    caller.write(&ask.bytes())?;
+    let reply = caller.read()?;
+    anyhow::ensure!(reply.status_code == 200, "status {}", reply.status_code);
+    Ok(started.elapsed().as_micros() as u64)
+}
