--- a/lovageridge/src/gateway/fleet/plan.rs
+++ b/lovageridge/src/gateway/fleet/plan.rs
@@ -31,8 +31,12 @@
 const RUNNING_PER_REPLICA: u32 = 16;
 /// Requests a second from which a model has a second replica.
 const SECOND_REPLICA_RATE: f64 = 3.0;
-/// Loss up to which others are given up for a further replica, in ms.
-const REPLICA_LOSS_MAX_MS: f64 = 1500.0;
+/// Loss up to which others are given up for a further replica, for each request a second that it
+/// is for, in ms: about what an overloaded worker adds to the wait of each request.
+const REPLICA_LOSS_MS: f64 = 1000.0;
+/// Added to the cost of a replica in a failure domain that has one, in ms: a cut or the loss of the
+/// domain would take both.
+const SAME_DOMAIN_MS: f64 = 1500.0;
 /// Rate from which free memory is used for a further replica, in requests a second.
 const FILL_REPLICA_RATE: f64 = 0.15;
 /// Loads from the weight store at once.
@@ -255,7 +259,11 @@
             if loss_ms > weight * WAIT_LOSS_MS {
                 continue;
             }
-            let cost = weight * load_ms as f64 + loss_ms;
+            let beside = self.sites.values().any(|other| {
+                other.service == service && other.domain == site.domain && other.is_present(model)
+            });
+            let same_domain_ms = if beside { SAME_DOMAIN_MS } else { 0.0 };
+            let cost = weight * load_ms as f64 + loss_ms + same_domain_ms;
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 let evicts_running =
                     evict.iter().any(|name| self.running(&site.id, name, now_ms) > 0);
@@ -397,7 +405,7 @@
                 continue;
             }
             let Some(place) = self.place(engine, &service, &model, 1.0, now_ms) else { continue };
-            if place.loss_ms <= REPLICA_LOSS_MAX_MS && !place.from_store {
+            if place.loss_ms <= rate * REPLICA_LOSS_MS && !place.from_store {
                 self.start(place, &model, load_window_ms, engine, now_ms);
             }
         }
--- a/lovageridge/src/gateway/fleet/tests.rs
+++ b/lovageridge/src/gateway/fleet/tests.rs
@@ -92,6 +92,12 @@
     Catalog::new(1, Vec::new(), services, Limits::default())
 }
 
+/// Workers with even numbers are in one failure domain, the others in another.
+fn domain_of(id: &str) -> &'static str {
+    let number: usize = id[1..].parse().expect("a number");
+    if number.is_multiple_of(2) { "a" } else { "b" }
+}
+
 impl World {
     /// Workers hold one model each, m00 on the first two; every disk has all models.
     fn new(workers: usize, models: usize) -> Self {
@@ -136,7 +142,7 @@
             models: worker.loaded(),
             on_disk: worker.on_disk.clone(),
             born_ms: worker.born_ms,
-            ..record(id, "a", &[])
+            ..record(id, domain_of(id), &[])
         };
         self.workers.iter().map(row).collect()
     }
@@ -449,6 +455,26 @@
     assert!(waits.last().is_some_and(|wait_ms| *wait_ms <= 400), "{waits:?}");
 }
 
+/// Pattern: the requests of one model pile up at its only replica while all memory is in use.
+#[test]
+fn a_model_whose_requests_pile_up_gets_replicas_in_both_domains() {
+    let mut world = World::new(4, 30);
+    world.run_ms(6000);
+    for _ in 0..200 {
+        world.ask("m20", None, 400);
+        world.run_ms(50);
+    }
+    let domains: Vec<&str> = world
+        .workers
+        .iter()
+        .filter(|(_, worker)| worker.held.contains("m20"))
+        .map(|(id, _)| domain_of(id))
+        .collect();
+    assert!(domains.contains(&"a") && domains.contains(&"b"), "replicas in {domains:?}");
+    // 40 requests run at once, 16 a replica.
+    assert!(domains.len() >= 3, "{} replicas", domains.len());
+}
+
 /// Pattern: a worker with the only replica falls silent.
 #[test]
 fn a_silent_workers_models_are_loaded_elsewhere() {
