--- a/lovageridge/src/gateway/fleet.rs
+++ b/lovageridge/src/gateway/fleet.rs
@@ -34,6 +34,25 @@
     Order(Order),
 }
 
+/// A load that was decided, with what decided it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// Worker.
+    pub worker: String,
+    /// Model.
+    pub model: String,
+    /// Models that are given up for it.
+    pub evict: Vec<String>,
+    /// Expected time of the load, in ms.
+    pub load_ms: u64,
+    /// What the loss of the models given up costs, in ms of waiting.
+    pub loss_ms: f64,
+    /// Requests a second for the model.
+    pub rate_per_s: f64,
+    /// Whether the weights come from the weight store.
+    pub from_store: bool,
+}
+
 /// Name of a model with its service.
 type ModelKey = (String, String);
 
@@ -60,6 +79,7 @@
     models: Table<ModelKey, ModelUse>,
     heard: Table<String, Heard>,
     store_loads_ms: Vec<u64>,
+    decisions: Vec<Decision>,
 }
 
 impl Fleet {
@@ -71,6 +91,7 @@
             models: Table::new(),
             heard: Table::new(),
             store_loads_ms: Vec::new(),
+            decisions: Vec::new(),
         }
     }
 
@@ -123,6 +144,11 @@
         self.sites.values().filter(|site| site.is_known()).map(|site| site.view(now_ms)).collect()
     }
 
+    /// Returns the loads decided since the last call.
+    pub fn take_decisions(&mut self) -> Vec<Decision> {
+        std::mem::take(&mut self.decisions)
+    }
+
     /// Returns a worker's state.
     pub fn site(&self, id: &str) -> Option<&Site> {
         self.sites.get(id)
--- a/lovageridge/src/gateway/fleet/duty.rs
+++ b/lovageridge/src/gateway/fleet/duty.rs
@@ -66,7 +66,19 @@
     let mut fleet = gateway.fleet.borrow_mut();
     let fleet = fleet.as_mut()?;
     let may_order = gateway.election.borrow().may_order(gateway.settings.workers_check, now_ms);
-    Some(fleet.tick(&catalog, may_order, gateway.settings.load_window_ms, now_ms))
+    let calls = fleet.tick(&catalog, may_order, gateway.settings.load_window_ms, now_ms);
+    for decision in fleet.take_decisions() {
+        let line = gateway.log.line(events::LOAD_PLANNED, Weight::Notable);
+        line.text("worker", &decision.worker)
+            .text("model", &decision.model)
+            .text("evict", decision.evict.join(","))
+            .number("load_ms", decision.load_ms)
+            .number("loss_ms", decision.loss_ms as i64)
+            .number("requests_per_1000_s", (decision.rate_per_s * 1000.0) as i64)
+            .text("from_store", decision.from_store)
+            .close();
+    }
+    Some(calls)
 }
 
 /// Tells peers, and this instance itself, what has changed; everything once in a while.
--- a/lovageridge/src/gateway/fleet/plan.rs
+++ b/lovageridge/src/gateway/fleet/plan.rs
@@ -5,6 +5,7 @@
 use crate::gateway::catalog::Engine;
 use crate::gateway::fleet::Call;
 use crate::gateway::fleet::DEMAND_STALE_MS;
+use crate::gateway::fleet::Decision;
 use crate::gateway::fleet::Fleet;
 use crate::gateway::fleet::site::Goal;
 use crate::gateway::fleet::site::Site;
@@ -370,6 +371,16 @@
             self.store_loads_ms.push(now_ms);
         }
         let Some(site) = self.sites.get_mut(place.worker.as_str()) else { return };
+        let used = self.models.get(&(site.service.clone(), model.to_owned()));
+        self.decisions.push(Decision {
+            worker: place.worker.clone(),
+            model: model.to_owned(),
+            evict: place.evict.clone(),
+            load_ms: place.load_ms,
+            loss_ms: place.loss_ms,
+            rate_per_s: used.map_or(0.0, |used| used.rate_per_s(now_ms)),
+            from_store: place.from_store,
+        });
         let notice_ms = if place.evict.is_empty() { 0 } else { NOTICE_MS };
         site.goal = Some(Goal {
             model: model.to_owned(),
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -118,4 +118,6 @@
     ORDER_ANSWERED = 723 "order_answered";
     /// A worker gave no report.
     REPORT_MISSING = 724 "report_missing";
+    /// The lead decided a load.
+    LOAD_PLANNED = 725 "load_planned";
 }
--- a/lovageridge/tests/gateway/requests.rs
+++ b/lovageridge/tests/gateway/requests.rs
@@ -87,6 +87,21 @@
     deployment.close();
 }
 
+#[test]
+fn a_caller_that_leaves_before_its_first_event_ends_the_work_of_its_worker() {
+    let deployment =
+        deployment(vec![("e0", standins::users_platform::deployment::engine(&["m0"]))], 1);
+    deployment.worker("e0").set_manner(standins::users_platform::worker::Manner::Mute);
+    let mut caller = Caller::connect(deployment.instances[0].callers).expect("a connection");
+    caller.write(&Ask::post("/stream/once/1", "id1").for_model("m0").bytes()).expect("sent");
+    assert!(wait_for(|| !deployment.worker("e0").runs().is_empty()));
+    let left = Instant::now();
+    drop(caller);
+    assert!(wait_for(|| deployment.worker("e0").runs()[0].cancelled));
+    assert!(left.elapsed() < Duration::from_millis(500), "{:?}", left.elapsed());
+    deployment.close();
+}
+
 #[test]
 fn a_caller_that_leaves_while_it_waits_for_a_model_reaches_no_worker() {
     let deployment = small(1);
--- a/lovageridge/tests/integration.rs
+++ b/lovageridge/tests/integration.rs
@@ -247,3 +247,18 @@
     let rows = text.lines().filter(|l| l.starts_with("| E0")).count();
     assert_eq!(rows, lovageridge::telemetry::events::ALL.len());
 }
+
+#[test]
+fn the_log_lines_of_the_operators_page_are_events_of_the_code() {
+    let file = format!("{}/../docs/OPERATIONS.md", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(file).expect("the page");
+    let lines: Vec<&str> = text.lines().filter(|line| line.starts_with("{\"t_ms\"")).collect();
+    assert!(lines.len() >= 5);
+    for line in lines {
+        let row: serde_json::Value = serde_json::from_str(line).expect("JSON");
+        let known = lovageridge::telemetry::events::ALL.iter().any(|event| {
+            row["event"] == format!("E{:04}", event.number) && row["name"] == event.name
+        });
+        assert!(known, "{line}");
+    }
+}
