--- a/lovageridge/src/gateway/eventlog.rs
+++ b/lovageridge/src/gateway/eventlog.rs
@@ -18,6 +18,9 @@
 use crate::clock::unix_ms;
 use crate::telemetry::events::Event;
 
+#[cfg(test)]
+mod tests;
+
 /// Lines that may wait for the writer.
 const RING_LINES: usize = 4096;
 /// Routine lines a second; 30 requests a second with two lines each fit.
--- /dev/null
+++ b/lovageridge/src/gateway/eventlog/tests.rs
@@ -0,0 +1,99 @@
+//! Tests of the structured log: its form, its bound, and readers that stop reading.
+
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::clock::Clock;
+use crate::gateway::eventlog::EventLog;
+use crate::gateway::eventlog::RING_LINES;
+use crate::gateway::eventlog::ROUTINE_BURST;
+use crate::gateway::eventlog::Weight;
+use crate::telemetry::events;
+
+/// Output that takes nothing while `gate` is locked.
+#[derive(Clone, Default)]
+struct Gated {
+    gate: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Gated {
+    fn lock(&self) -> MutexGuard<'_, Vec<u8>> {
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn wait_for(&self, lines: usize) -> Vec<serde_json::Value> {
+        let until = Instant::now() + Duration::from_secs(5);
+        loop {
+            let text = String::from_utf8(self.lock().clone()).expect("text");
+            if text.lines().count() >= lines || Instant::now() > until {
+                let rows = text.lines().map(|line| serde_json::from_str(line).expect("JSON"));
+                return rows.collect();
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Write for Gated {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.lock().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn each_line_is_one_object_whatever_the_texts_hold() {
+    let out = Gated::default();
+    let log = EventLog::start("n\"1", Clock::start(), out.clone()).expect("a log");
+    let line = log.line(events::REQUEST_REFUSED, Weight::Notable);
+    line.text("request", "a\nb\"c\\").number("status", 503_u16).close();
+    let rows = out.wait_for(1);
+    assert_eq!(rows[0]["instance"], "n\"1");
+    assert_eq!(rows[0]["request"], "a\nb\"c\\");
+    assert_eq!((&rows[0]["status"], &rows[0]["event"]), (&503.into(), &"E0701".into()));
+}
+
+#[test]
+fn a_reader_that_stops_reading_holds_nothing_up_and_drops_are_told() {
+    let out = Gated::default();
+    let log = EventLog::start("n1", Clock::start(), out.clone()).expect("a log");
+    let held = out.lock();
+    let started = Instant::now();
+    for _ in 0..RING_LINES * 3 {
+        log.line(events::STREAM_CUT, Weight::Notable).text("request", "id").close();
+    }
+    assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+    let dropped = log.dropped();
+    // What the ring and the writer hold is kept.
+    assert!(dropped as usize >= RING_LINES, "{dropped} dropped");
+    drop(held);
+    out.wait_for(RING_LINES);
+    log.line(events::STREAM_CUT, Weight::Notable).close();
+    let rows = out.wait_for(RING_LINES * 3 - dropped as usize + 1);
+    let last = rows.last().expect("a line");
+    assert_eq!(last["lines_dropped_before"], dropped);
+}
+
+#[test]
+fn routine_lines_are_bounded_and_failures_are_not() {
+    let out = Gated::default();
+    let log = EventLog::start("n1", Clock::start(), out.clone()).expect("a log");
+    for _ in 0..1000 {
+        log.line(events::REQUEST_ANSWERED, Weight::Routine).close();
+        log.line(events::REQUEST_REFUSED, Weight::Notable).close();
+    }
+    let rows = out.wait_for(1000 + ROUTINE_BURST as usize);
+    let count = |name: &str| rows.iter().filter(|row| row["name"] == name).count();
+    assert_eq!(count("request_refused"), 1000);
+    // The burst, and what a slow run of this test lets through in a second.
+    assert!(count("request_answered") <= ROUTINE_BURST as usize + 60);
+}
--- a/lovageridge/src/gateway/fleet/site.rs
+++ b/lovageridge/src/gateway/fleet/site.rs
@@ -65,7 +65,6 @@
     pub adapters: Table<String, HeldAdapter>,
     /// Time until which it is not given up, in ms.
     pub keep_until_ms: u64,
-    since_ms: u64,
 }
 
 /// A load that is to be carried out at a worker, after room has been made.
@@ -175,7 +174,6 @@
                 state: HeldState::Present,
                 adapters: adapters.collect(),
                 keep_until_ms: before.map_or(0, |held| held.keep_until_ms),
-                since_ms: before.map_or(now_ms, |held| held.since_ms),
             };
             self.held.insert(loaded.model.clone(), held);
         }
@@ -341,7 +339,6 @@
                     state: HeldState::Loading { due_ms },
                     adapters: Table::new(),
                     keep_until_ms: due_ms + KEEP_NEW_MS,
-                    since_ms: now_ms,
                 };
                 self.held.insert(order.model.clone(), held);
                 self.goal = None;
@@ -383,7 +380,6 @@
                     state: HeldState::Present,
                     adapters: Table::new(),
                     keep_until_ms: now_ms + KEEP_NEW_MS,
-                    since_ms: now_ms,
                 };
                 self.held.get_or_insert_with(order.model.clone(), || held);
                 self.goal = None;
--- a/lovageridge/src/gateway/settings.rs
+++ b/lovageridge/src/gateway/settings.rs
@@ -32,14 +32,10 @@
     pub retry_slack: u64,
     /// Window of the two figures above, in ms.
     pub retry_window_ms: u64,
-    /// Time for which messages held up by a cut still arrive after it heals, in ms.
-    pub thaw_ms: u64,
     /// Window over which loads from the weight store are counted, in ms.
     pub load_window_ms: u64,
     /// Whether workers refuse orders with a lower fencing number than they have seen.
     pub workers_check: bool,
-    /// Time between the records of a worker in the store, in ms.
-    pub worker_beat_ms: u64,
 }
 
 /// Builds [`GatewaySettings`].
@@ -76,10 +72,8 @@
             retry_permille: 200,
             retry_slack: 50,
             retry_window_ms: 10_000,
-            thaw_ms: 300,
             load_window_ms: 5000,
             workers_check: false,
-            worker_beat_ms: 1200,
         };
         Self { settings }
     }
@@ -105,14 +99,10 @@
         retry_slack: u64;
         /// Sets the window of repeated sends in ms.
         retry_window_ms: u64;
-        /// Sets the time for which held-up messages still arrive, in ms.
-        thaw_ms: u64;
         /// Sets the window of loads from the weight store in ms.
         load_window_ms: u64;
         /// Sets whether workers check fencing numbers.
         workers_check: bool;
-        /// Sets the time between the records of a worker in ms.
-        worker_beat_ms: u64;
     }
 
     /// Sets the share of repeated sends (0.2: one in five requests).
--- a/lovageridge/src/platform/settings.rs
+++ b/lovageridge/src/platform/settings.rs
@@ -52,10 +52,8 @@
     .retry_ratio(optional(&rows, "Bounds.RetryBudgetRatio", 0.2)?)
     .retry_slack(optional(&rows, "Bounds.BudgetSlack", 50)?)
     .retry_window_ms(seconds_ms(&rows, "Bounds.BudgetWindowS", 10.0)?)
-    .thaw_ms(optional(&rows, "Bounds.ThawMs", 300)?)
     .load_window_ms(seconds_ms(&rows, "Bounds.CeilingWindowS", 5.0)?)
-    .workers_check(optional(&rows, "Bounds.RequireFence", false)?)
-    .worker_beat_ms(optional(&rows, "BeatIntervalMs", 1200)?);
+    .workers_check(optional(&rows, "Bounds.RequireFence", false)?);
     Ok(builder.build())
 }
 
