--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -9,15 +9,12 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Method;
-use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Uri;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::timeout;
 
@@ -26,7 +23,6 @@
 use crate::gateway::answer::Refusal;
 use crate::gateway::call::CallFields;
 use crate::gateway::call::OutcomeFields;
-use crate::gateway::call::SendFields;
 use crate::gateway::catalog::Catalog;
 use crate::gateway::catalog::Route;
 use crate::gateway::catalog::RouteKind;
@@ -35,14 +31,18 @@
 use crate::gateway::directory::choose::choose;
 use crate::gateway::eventlog::Weight;
 use crate::gateway::link::SendBody;
-use crate::gateway::link::dial;
 use crate::gateway::relay::Relay;
 use crate::gateway::waits::Target;
 use crate::platform::headers;
 use crate::telemetry::events;
 
-/// Longest time for a connection to a worker; within a region one takes 3 ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+pub mod send;
+
+use crate::gateway::attempt::send::Arriving;
+use crate::gateway::attempt::send::Sent;
+use crate::gateway::attempt::send::ms;
+use crate::gateway::attempt::send::send;
+
 /// Sends to one worker again after it said that it did not run the request.
 const SAME_WORKER_SENDS: u32 = 3;
 /// Pause before such a send, in ms.
@@ -71,9 +71,6 @@
 /// Longest time between looks for a worker while a request waits.
 const WAIT_LOOK: Duration = Duration::from_millis(120);
 
-/// Result of a send that its worker did not run.
-const NOT_EXECUTED: &str = "not_executed";
-
 /// A request that has been read.
 pub struct Call {
     /// Method.
@@ -125,68 +122,6 @@
     }
 }
 
-/// A request in progress at a worker.
-pub struct InFlight {
-    gateway: Rc<Gateway>,
-    /// Worker.
-    pub worker_id: String,
-    model: Option<String>,
-}
-
-impl InFlight {
-    fn new(gateway: &Rc<Gateway>, worker_id: &str, model: Option<&str>) -> Self {
-        if let Some(worker) = gateway.directory.borrow_mut().get_mut(worker_id) {
-            worker.on_sent(model);
-        }
-        Self {
-            gateway: Rc::clone(gateway),
-            worker_id: worker_id.to_owned(),
-            model: model.map(str::to_owned),
-        }
-    }
-}
-
-// A caller that leaves drops its request wherever that waits, so counts end with the value.
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        if let Some(worker) = self.gateway.directory.borrow_mut().get_mut(&self.worker_id) {
-            worker.on_done(self.model.as_deref());
-        }
-    }
-}
-
-/// An answer's head, its body still to come, and the connection it comes on.
-pub struct Arriving {
-    /// Head and body.
-    pub response: Response<Incoming>,
-    /// What the head says.
-    pub outcome: OutcomeFields,
-    /// Connection, which can be used again after the body.
-    pub sender: SendRequest<SendBody>,
-    /// Count of the request at its worker.
-    pub in_flight: InFlight,
-}
-
-/// What became of one send.
-pub enum Sent {
-    /// The worker answers the request.
-    Arriving(Box<Arriving>),
-    /// Nothing was sent.
-    NotSent,
-    /// The worker says that it did not run the request.
-    NotExecuted {
-        /// Status of the worker.
-        status: StatusCode,
-    },
-    /// The request may have run; there is no answer of use.
-    Unknown {
-        /// What was seen.
-        cause: &'static str,
-    },
-    /// No answer within the time limit of the send.
-    TimedOut,
-}
-
 /// Sends tried for a request.
 #[derive(Clone, Debug, Default)]
 pub struct Tries {
@@ -441,179 +376,6 @@
     histogram.observe(waited_ms as f64 / 1000.0);
 }
 
-async fn send(
-    gateway: &Rc<Gateway>,
-    call: &Call,
-    chosen: &Chosen,
-    tries: &mut Tries,
-    last_event: Option<&str>,
-    limit_ms: u64,
-) -> Sent {
-    let started_ms = gateway.now_ms();
-    let model = call.target.as_ref().map(|target| target.model.as_str());
-    let in_flight = InFlight::new(gateway, &chosen.id, model);
-    let kept = gateway.pool.borrow_mut().take(&chosen.id, started_ms);
-    let reused = kept.is_some();
-    let remaining_ms = call.give_up_ms.saturating_sub(started_ms);
-    let mut sender = match kept {
-        Some(sender) => sender,
-        None => match dial(chosen.addr, CONNECT_TIMEOUT.min(ms(remaining_ms))).await {
-            Ok(sender) => sender,
-            Err(error) => {
-                on_unreachable(gateway, call, chosen, &error.to_string());
-                return Sent::NotSent;
-            }
-        },
-    };
-    let request = match upstream_request(call, chosen, remaining_ms, last_event) {
-        Ok(request) => request,
-        Err(_) => return Sent::NotSent,
-    };
-    let sending = timeout(ms(limit_ms), sender.try_send_request(request));
-    let result = match sending.await {
-        Ok(Ok(response)) => Ok(response),
-        Ok(Err(mut error)) => {
-            if error.take_message().is_some() {
-                // The connection had ended before anything of the request was written.
-                if !reused {
-                    on_unreachable(gateway, call, chosen, "connection closed at once");
-                }
-                return Sent::NotSent;
-            }
-            Err(error.into_error())
-        }
-        Err(_) => {
-            count_send(gateway, call, tries, chosen, "timeout");
-            let mut directory = gateway.directory.borrow_mut();
-            if let Some(worker) = directory.get_mut(&chosen.id) {
-                worker.health.on_failure(gateway.now_ms());
-            }
-            return Sent::TimedOut;
-        }
-    };
-    let now_ms = gateway.now_ms();
-    let response = match result {
-        Ok(response) => response,
-        Err(error) => {
-            count_send(gateway, call, tries, chosen, "broken");
-            if let Some(worker) = gateway.directory.borrow_mut().get_mut(&chosen.id) {
-                worker.health.on_failure(now_ms);
-            }
-            log_send(gateway, call, chosen, "connection broke", &error.to_string());
-            return Sent::Unknown { cause: "the worker's connection broke" };
-        }
-    };
-    let outcome = headers::read_outcome(response.headers());
-    note_answer(gateway, call, chosen, &outcome, response.status(), now_ms - started_ms);
-    let status = response.status();
-    if outcome.not_executed || status == StatusCode::MISDIRECTED_REQUEST {
-        count_send(gateway, call, tries, chosen, NOT_EXECUTED);
-        log_send(gateway, call, chosen, "not executed", status.as_str());
-        return Sent::NotExecuted { status };
-    }
-    if outcome.id.as_deref() != call.fields.id.as_deref() {
-        // Bytes that answer another request; the connection ends with the sender.
-        count_send(gateway, call, tries, chosen, "foreign");
-        log_send(gateway, call, chosen, "answer of another request", "");
-        return Sent::Unknown { cause: "the worker's answer was not for this request" };
-    }
-    if status.is_success() && (!outcome.sealed || outcome.encoded) {
-        count_send(gateway, call, tries, chosen, "unsealed");
-        log_send(gateway, call, chosen, "answer without receipt", "");
-        return Sent::Unknown { cause: "the worker's answer had no receipt" };
-    }
-    count_send(gateway, call, tries, chosen, "answered");
-    Sent::Arriving(Box::new(Arriving { response, outcome, sender, in_flight }))
-}
-
-fn ms(value: u64) -> Duration {
-    Duration::from_millis(value)
-}
-
-fn upstream_request(
-    call: &Call,
-    chosen: &Chosen,
-    remaining_ms: u64,
-    last_event: Option<&str>,
-) -> Result<Request<SendBody>, hyper::http::Error> {
-    let urgency = if call.target.is_some() { Some(urgency(&call.route)) } else { None };
-    let fields = SendFields { remaining_ms, worker_id: &chosen.id, urgency, last_event };
-    let mut request = Request::builder()
-        .method(call.method.clone())
-        .uri(call.uri.clone())
-        .body(Full::new(call.body.clone()))?;
-    *request.headers_mut() = headers::upstream_headers(&call.headers, &fields);
-    Ok(request)
-}
-
-/// Returns the urgency at the worker: by the route's rank, then by how soon callers want the start.
-fn urgency(route: &Route) -> u8 {
-    let slack = if route.objective_ms <= 1000 { 0 } else { 1 };
-    (route.rank.min(4) * 2 + slack) as u8
-}
-
-fn count_send(
-    gateway: &Gateway,
-    call: &Call,
-    tries: &mut Tries,
-    chosen: &Chosen,
-    result: &'static str,
-) {
-    tries.sends += 1;
-    tries.runs += u32::from(result != NOT_EXECUTED);
-    if !tries.workers.contains(&chosen.id) {
-        tries.workers.push(chosen.id.clone());
-    }
-    gateway.metrics.sends_total.with_label_values(&[call.service.as_str(), result]).inc();
-}
-
-fn log_send(gateway: &Gateway, call: &Call, chosen: &Chosen, what: &str, detail: &str) {
-    gateway
-        .log
-        .line(events::SEND_FAILED, Weight::Notable)
-        .text("request", call.id())
-        .text("worker", &chosen.id)
-        .text("domain", &chosen.domain)
-        .number("load", chosen.load)
-        .text("what", what)
-        .text("detail", detail)
-        .close();
-}
-
-fn on_unreachable(gateway: &Gateway, call: &Call, chosen: &Chosen, detail: &str) {
-    gateway.metrics.sends_total.with_label_values(&[call.service.as_str(), "unreachable"]).inc();
-    gateway.pool.borrow_mut().forget(&chosen.id);
-    if let Some(worker) = gateway.directory.borrow_mut().get_mut(&chosen.id) {
-        worker.health.on_unreachable(gateway.now_ms());
-    }
-    log_send(gateway, call, chosen, "unreachable", detail);
-}
-
-fn note_answer(
-    gateway: &Gateway,
-    call: &Call,
-    chosen: &Chosen,
-    outcome: &OutcomeFields,
-    status: StatusCode,
-    first_byte_ms: u64,
-) {
-    let now_ms = gateway.now_ms();
-    let mut directory = gateway.directory.borrow_mut();
-    let Some(worker) = directory.get_mut(&chosen.id) else { return };
-    if let Some(load) = outcome.load {
-        worker.on_load(load, now_ms);
-    }
-    match (&call.target, status) {
-        (Some(target), StatusCode::MISDIRECTED_REQUEST) => {
-            worker.on_absent(&target.model, target.adapter.as_deref(), now_ms);
-        }
-        (None, StatusCode::MISDIRECTED_REQUEST) => worker.health.on_unreachable(now_ms),
-        _ if outcome.not_executed => worker.health.avoid(SAME_WORKER_PAUSE_MS, now_ms),
-        _ if status.is_server_error() => worker.health.on_failure(now_ms),
-        _ => worker.health.on_answer(first_byte_ms, now_ms),
-    }
-}
-
 /// Passes an answer on; `None` when another worker shall be tried.
 async fn pass_on(
     gateway: &Rc<Gateway>,
--- a/lovageridge/src/gateway/call.rs
+++ b/lovageridge/src/gateway/call.rs
@@ -51,7 +51,7 @@
     /// The worker states that it did not run the request.
     pub not_executed: bool,
     /// The answer bears the worker's receipt.
-    pub sealed: bool,
+    pub has_receipt: bool,
     /// The body has an encoding, so it is not the worker's own.
     pub encoded: bool,
     /// Load of the worker.
--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -15,9 +15,10 @@
 use crate::gateway::Gateway;
 use crate::gateway::answer::Broken;
 use crate::gateway::attempt;
-use crate::gateway::attempt::Arriving;
 use crate::gateway::attempt::Call;
 use crate::gateway::attempt::Tries;
+use crate::gateway::attempt::send::Arriving;
+use crate::gateway::attempt::send::InFlight;
 use crate::gateway::call::OutcomeFields;
 use crate::gateway::catalog::RouteKind;
 use crate::gateway::eventlog::Weight;
@@ -103,7 +104,7 @@
 struct ArrivingRest {
     outcome: OutcomeFields,
     sender: hyper::client::conn::http1::SendRequest<crate::gateway::link::SendBody>,
-    in_flight: attempt::InFlight,
+    in_flight: InFlight,
 }
 
 /// A stream on its way.
--- a/lovageridge/src/platform/headers.rs
+++ b/lovageridge/src/platform/headers.rs
@@ -115,7 +115,7 @@
     OutcomeFields {
         id: text(&ATTEMPT_ID).map(str::to_owned),
         not_executed: headers.contains_key(NOT_EXECUTED),
-        sealed: headers.contains_key(SEAL),
+        has_receipt: headers.contains_key(SEAL),
         encoded: headers.contains_key(hyper::header::CONTENT_ENCODING),
         load: text(&LOAD).and_then(read_load),
         idle_timeout_ms: text(&HeaderName::from_static("keep-alive")).and_then(read_keep_alive_ms),
--- a/lovageridge/src/platform/tests.rs
+++ b/lovageridge/src/platform/tests.rs
@@ -158,7 +158,7 @@
     assert_eq!(outcome.id.as_deref(), Some("id1"));
     assert_eq!(outcome.load.map(|load| (load.running, load.waiting)), Some((3, 1)));
     assert_eq!(outcome.idle_timeout_ms, Some(5000));
-    assert!(outcome.closes && !outcome.sealed && !outcome.not_executed);
+    assert!(outcome.closes && !outcome.has_receipt && !outcome.not_executed);
 }
 
 #[test]
--- a/lovageridge/tests/gateway.rs
+++ b/lovageridge/tests/gateway.rs
@@ -13,10 +13,10 @@
 
 use std::path::PathBuf;
 
-use standins::users_platform::deployment::Deployment;
-use standins::users_platform::deployment::engine;
-use standins::users_platform::deployment::plain;
-use standins::users_platform::worker::Shape;
+use standins::platform::deployment::Deployment;
+use standins::platform::deployment::engine;
+use standins::platform::deployment::plain;
+use standins::platform::worker::Shape;
 
 fn binary() -> PathBuf {
     PathBuf::from(env!("CARGO_BIN_EXE_lovageridge"))
--- a/lovageridge/tests/gateway/faults.rs
+++ b/lovageridge/tests/gateway/faults.rs
@@ -4,17 +4,17 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use standins::users_platform::caller::Ask;
-use standins::users_platform::deployment::engine;
-use standins::users_platform::deployment::plain;
-use standins::users_platform::worker::Manner;
-use standins::users_platform::worker::Shape;
+use standins::platform::caller::Ask;
+use standins::platform::deployment::engine;
+use standins::platform::deployment::plain;
+use standins::platform::worker::Manner;
+use standins::platform::worker::Shape;
 use test_case::test_case;
 
 use crate::deployment;
 use crate::events;
 
-fn total_runs(deployment: &standins::users_platform::deployment::Deployment) -> usize {
+fn total_runs(deployment: &standins::platform::deployment::Deployment) -> usize {
     deployment.workers.iter().map(|worker| worker.runs().len()).sum()
 }
 
--- a/lovageridge/tests/gateway/hostile.rs
+++ b/lovageridge/tests/gateway/hostile.rs
@@ -3,8 +3,8 @@
 use std::thread;
 use std::time::Duration;
 
-use standins::users_platform::caller::Ask;
-use standins::users_platform::caller::Caller;
+use standins::platform::caller::Ask;
+use standins::platform::caller::Caller;
 use test_case::test_case;
 
 use crate::small;
--- a/lovageridge/tests/gateway/lead.rs
+++ b/lovageridge/tests/gateway/lead.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use standins::users_platform::caller::Ask;
-use standins::users_platform::deployment::Deployment;
-use standins::users_platform::deployment::LEASE_MS;
-use standins::users_platform::deployment::engine;
-use standins::users_platform::deployment::wait_for;
-use standins::users_platform::store::Manner;
-use standins::users_platform::worker::Shape;
+use standins::platform::caller::Ask;
+use standins::platform::deployment::Deployment;
+use standins::platform::deployment::LEASE_MS;
+use standins::platform::deployment::engine;
+use standins::platform::deployment::wait_for;
+use standins::platform::store::Manner;
+use standins::platform::worker::Shape;
 
 use crate::deployment;
 use crate::events;
@@ -158,7 +158,7 @@
     assert!(wait_for(filled));
     let shape = Shape { models: Vec::new(), ..engine(&[]) };
     thread::sleep(Duration::from_millis(20));
-    let again = standins::users_platform::worker::WorkerStandIn::start("e1", shape);
+    let again = standins::platform::worker::WorkerStandIn::start("e1", shape);
     let old = std::mem::replace(&mut deployment.workers[1], again.expect("a worker"));
     old.close();
     deployment.announce(&deployment.workers[1], "ready");
--- a/lovageridge/tests/gateway/requests.rs
+++ b/lovageridge/tests/gateway/requests.rs
@@ -5,10 +5,10 @@
 use std::time::Instant;
 
 use serde_json::json;
-use standins::users_platform::caller::Ask;
-use standins::users_platform::caller::Caller;
-use standins::users_platform::deployment::config;
-use standins::users_platform::deployment::wait_for;
+use standins::platform::caller::Ask;
+use standins::platform::caller::Caller;
+use standins::platform::deployment::config;
+use standins::platform::deployment::wait_for;
 
 use crate::deployment;
 use crate::events;
@@ -69,9 +69,9 @@
     let deployment = deployment(
         vec![(
             "e0",
-            standins::users_platform::worker::Shape {
+            standins::platform::worker::Shape {
                 events: 200,
-                ..standins::users_platform::deployment::engine(&["m0"])
+                ..standins::platform::deployment::engine(&["m0"])
             },
         )],
         1,
@@ -89,9 +89,8 @@
 
 #[test]
 fn a_caller_that_leaves_before_its_first_event_ends_the_work_of_its_worker() {
-    let deployment =
-        deployment(vec![("e0", standins::users_platform::deployment::engine(&["m0"]))], 1);
-    deployment.worker("e0").set_manner(standins::users_platform::worker::Manner::Mute);
+    let deployment = deployment(vec![("e0", standins::platform::deployment::engine(&["m0"]))], 1);
+    deployment.worker("e0").set_manner(standins::platform::worker::Manner::Mute);
     let mut caller = Caller::connect(deployment.instances[0].callers).expect("a connection");
     caller.write(&Ask::post("/stream/once/1", "id1").for_model("m0").bytes()).expect("sent");
     assert!(wait_for(|| !deployment.worker("e0").runs().is_empty()));
@@ -131,7 +130,7 @@
 
 #[test]
 fn a_request_is_given_up_at_its_routes_time_limit() {
-    let deployment = deployment(vec![("p0", standins::users_platform::deployment::plain(5000))], 1);
+    let deployment = deployment(vec![("p0", standins::platform::deployment::plain(5000))], 1);
     let route = json!([{
         "Name": "book", "Host": "site.example", "PathPrefix": "/book/", "Service": "plain",
         "RouteType": "non_idempotent", "TimeoutMs": 600, "TargetLatencyMs": 100, "MaxAttempts": 1,
@@ -152,10 +151,10 @@
 
 #[test]
 fn a_stopping_instance_cuts_no_stream_and_refuses_what_comes_too_late() {
-    let shape = standins::users_platform::worker::Shape {
+    let shape = standins::platform::worker::Shape {
         events: 40,
         gap_ms: 100,
-        ..standins::users_platform::deployment::engine(&["m0"])
+        ..standins::platform::deployment::engine(&["m0"])
     };
     let mut deployment = deployment(vec![("e0", shape)], 1);
     let to = deployment.instances[0].callers;
--- a/lovageridge/tests/gateway/store.rs
+++ b/lovageridge/tests/gateway/store.rs
@@ -4,12 +4,12 @@
 use std::time::Duration;
 
 use serde_json::json;
-use standins::users_platform::caller::Ask;
-use standins::users_platform::deployment::Deployment;
-use standins::users_platform::deployment::config;
-use standins::users_platform::deployment::plain;
-use standins::users_platform::deployment::wait_for;
-use standins::users_platform::store::Manner;
+use standins::platform::caller::Ask;
+use standins::platform::deployment::Deployment;
+use standins::platform::deployment::config;
+use standins::platform::deployment::plain;
+use standins::platform::deployment::wait_for;
+use standins::platform::store::Manner;
 use test_case::test_case;
 
 use crate::deployment;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -6,8 +6,8 @@
 use standins::demo;
 use standins::limits;
 use standins::measure;
+use standins::platform;
 use standins::replay;
-use standins::users_platform;
 
 /// Commands around the stand-ins of lovageridge.
 #[derive(Debug, Options)]
@@ -44,7 +44,7 @@
         Some(Command::Entry(options)) => measure::entry(&options),
         Some(Command::Control(options)) => measure::control(&options),
         Some(Command::Gateway(options)) => {
-            measure::binary(&options).and_then(|binary| users_platform::measure::print(&binary))
+            measure::binary(&options).and_then(|binary| platform::measure::print(&binary))
         }
         Some(Command::Replay(options)) => replay::print(&options),
         None => {
--- a/standins/src/users_platform/deployment.rs
+++ b/standins/src/platform/deployment.rs
@@ -10,13 +10,13 @@
 
 use serde_json::json;
 
+use crate::platform::caller::Ask;
+use crate::platform::store::StoreStandIn;
+use crate::platform::worker::Shape;
+use crate::platform::worker::WorkerStandIn;
 use crate::process::Process;
 use crate::process::Workspace;
 use crate::process::free_port;
-use crate::users_platform::caller::Ask;
-use crate::users_platform::store::StoreStandIn;
-use crate::users_platform::worker::Shape;
-use crate::users_platform::worker::WorkerStandIn;
 
 /// Longest wait for something that has to come about.
 const PATIENCE: Duration = Duration::from_secs(15);
--- a/standins/src/users_platform/measure.rs
+++ b/standins/src/platform/measure.rs
@@ -7,12 +7,12 @@
 
 use hdrhistogram::Histogram;
 
-use crate::users_platform::caller::Ask;
-use crate::users_platform::caller::Caller;
-use crate::users_platform::deployment::Deployment;
-use crate::users_platform::deployment::engine;
-use crate::users_platform::deployment::plain;
-use crate::users_platform::worker::Shape;
+use crate::platform::caller::Ask;
+use crate::platform::caller::Caller;
+use crate::platform::deployment::Deployment;
+use crate::platform::deployment::engine;
+use crate::platform::deployment::plain;
+use crate::platform::worker::Shape;
 
 /// Time for which instances at rest are watched.
 const REST: Duration = Duration::from_secs(10);
