Notice the store's return within a second

Change: reads wait 1.5 s and have 0.8 s beyond; while the store is away they do not wait. Test: red before (version 1 of 9 in force), green after.

--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -25,11 +25,9 @@
 mod tests;
 
 /// Time for which a read waits for a record, in ms.
-const READ_WAIT_MS: u64 = 2000;
-/// Time beyond that wait after which a read has no answer.
-const READ_SLACK: Duration = Duration::from_millis(1500);
-/// Time for an answer that waits for nothing.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+const READ_WAIT_MS: u64 = 1500;
+/// Time for an answer beyond what it waits for; a slow store takes a quarter of a second.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Shortest time between reads of the configuration, in ms.
 const CONFIG_GAP_MS: u64 = 150;
 /// Shortest time between reads of the workers' records, in ms; half of the time in which a leaving
@@ -210,8 +208,10 @@
     topic: Topic,
     offset: u64,
 ) -> Result<Option<u64>, String> {
-    let path = store::read_path(topic.name(), offset, READ_WAIT_MS);
-    let limit = Duration::from_millis(READ_WAIT_MS) + READ_SLACK;
+    // While the store is away no read waits, so that its return is noticed within a second.
+    let wait_ms = if gateway.store.borrow().is_away() { 0 } else { READ_WAIT_MS };
+    let path = store::read_path(topic.name(), offset, wait_ms);
+    let limit = Duration::from_millis(wait_ms) + CALL_TIMEOUT;
     let body = match get(gateway, link, "read", &path, limit).await? {
         (200, body) => body,
         (410 | 404, _) => return Ok(None),
--- a/lovageridge/tests/gateway/store.rs
+++ b/lovageridge/tests/gateway/store.rs
@@ -111,6 +111,20 @@
     deployment.close();
 }
 
+#[test]
+fn a_change_right_after_a_silent_outage_is_in_force_within_its_bound() {
+    let deployment = small(4);
+    deployment.store.set_manner(Manner::Silent);
+    thread::sleep(Duration::from_millis(1200));
+    deployment.store.set_manner(Manner::Sound);
+    deployment.store.put("keyed.op", "config", &config(9, &json!({})));
+    thread::sleep(Duration::from_millis(2000));
+    for at in 0..4 {
+        assert_eq!(version(&deployment, at), Some(9.0), "instance {at}");
+    }
+    deployment.close();
+}
+
 #[test]
 fn an_idle_instance_asks_the_store_little() {
     let deployment = small(2);
@@ -118,7 +132,7 @@
     let before = deployment.store.calls();
     thread::sleep(Duration::from_millis(4000));
     let per_s = (deployment.store.calls() - before) as f64 / 4.0;
-    // Two long reads of 2 s each an instance, and the renewals of one lead.
+    // Two long reads of 1.5 s each an instance, and the renewals of one lead.
     assert!(per_s <= 2.0 * 2.0 + 3.0, "{per_s} calls a second");
     deployment.close();
 }
