Bind each port once in tests

Ruled out: ports for outgoing connections (32768 and up, no overlap), other processes' ranges. Change: stand-ins bind directly.

--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -69,36 +69,55 @@
     }
 }
 
-/// Returns a loopback port that is free for TCP and UDP, below the range of outgoing connections.
+/// Returns a loopback port that is free for TCP and UDP, below the range of outgoing connections, for
+/// a process that is about to start.
 ///
 /// Each call gives another port, so that a port stays free until its process binds it.
 ///
 /// # Errors
 /// Returns an error when no port can be found.
 pub fn free_port() -> Result<u16, anyhow::Error> {
+    let (socket, _) = listen_pair()?;
+    Ok(socket.local_addr()?.port())
+}
+
+/// Listens on a free loopback port below the range of outgoing connections, which many short calls
+/// can use up.
+///
+/// The port is bound once: a port that is probed and bound again may be held in between by a copy of
+/// the probe in a process that another thread is starting.
+///
+/// # Errors
+/// Returns an error when no port can be found.
+pub fn listen() -> Result<TcpListener, anyhow::Error> {
+    first_bound(|port| TcpListener::bind((Ipv4Addr::LOCALHOST, port)))
+}
+
+/// Opens a UDP socket and a listener on the same free port.
+///
+/// # Errors
+/// Returns an error when no port can be found.
+pub fn listen_pair() -> Result<(UdpSocket, TcpListener), anyhow::Error> {
+    first_bound(|port| {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, port))?;
+        Ok((UdpSocket::bind((Ipv4Addr::LOCALHOST, port))?, listener))
+    })
+}
+
+/// Tries one port after the other, starting from the last one tried.
+fn first_bound<T>(bind: impl Fn(u16) -> std::io::Result<T>) -> Result<T, anyhow::Error> {
     static NEXT: AtomicU64 = AtomicU64::new(0);
     let start = u64::from(std::process::id()) * PORTS_PER_PROCESS;
     for _ in 0..PORT_COUNT {
         let step = NEXT.fetch_add(1, Ordering::Relaxed);
         let port = FIRST_PORT + ((start + step) % PORT_COUNT) as u16;
-        let tcp = TcpListener::bind((Ipv4Addr::LOCALHOST, port));
-        let udp = UdpSocket::bind((Ipv4Addr::LOCALHOST, port));
-        if tcp.is_ok() && udp.is_ok() {
-            return Ok(port);
+        if let Ok(bound) = bind(port) {
+            return Ok(bound);
         }
     }
     Err(anyhow!("no free port"))
 }
 
-/// Listens on a free loopback port outside the range of outgoing connections, which many short calls
-/// can use up.
-///
-/// # Errors
-/// Returns an error when no port can be found.
-pub fn listen() -> Result<TcpListener, anyhow::Error> {
-    Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, free_port()?))?)
-}
-
 /// A running instance of the real binary.
 pub struct Process {
     child: Child,
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::io::Read;
 use std::io::Write;
-use std::net::Ipv4Addr;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -19,8 +18,8 @@
 
 use lovageridge::context::lock;
 
-use crate::process::free_port;
 use crate::process::listen;
+use crate::process::listen_pair;
 
 /// Time allowed for connecting to the other side.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -174,9 +173,8 @@
     /// # Errors
     /// Returns why the port cannot be had.
     pub fn start(to: SocketAddr) -> Result<Self, anyhow::Error> {
-        let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, free_port()?))?;
+        let (socket, listener) = listen_pair()?;
         let addr = socket.local_addr()?;
-        let listener = TcpListener::bind(addr)?;
         listener.set_nonblocking(true)?;
         socket.set_read_timeout(Some(Duration::from_millis(100)))?;
         let blocked: Arc<Mutex<Vec<SocketAddr>>> = Arc::default();
