Send the first request of a test to the worker that fails

Ruled out: a fault of the product; no request failed in those runs. Change: the sound worker is in another failure domain, so the failing one is asked first. The test of repeatable requests gets the same order and now asserts that the failing worker was asked, too. A child process of a test ends with its owner, also when the test fails.

--- a/lovageridge/tests/gateway/faults.rs
+++ b/lovageridge/tests/gateway/faults.rs
@@ -40,7 +40,9 @@
 #[test_case(Manner::ForeignId; "answer of another request")]
 #[test_case(Manner::Full; "no place")]
 fn a_request_that_may_repeat_is_served_by_another_worker(manner: Manner) {
-    let deployment = deployment(vec![("p0", plain(5)), ("p1", plain(5))], 1);
+    // The failing worker is in the instance's own domain, so that requests go there first.
+    let elsewhere = Shape { domain: "b".to_owned(), ..plain(5) };
+    let deployment = deployment(vec![("p0", plain(5)), ("p1", elsewhere)], 1);
     deployment.worker("p0").set_manner(manner);
     for number in 0..8 {
         let ask = Ask::get("/look/1", &format!("id{number}"));
@@ -48,6 +50,7 @@
         assert_eq!(reply.status_code, 200, "request {number}");
         assert_eq!(reply.body, "GET /look/1 by p1");
     }
+    assert!(deployment.worker("p0").requests() > 0, "the failing worker was never asked");
     deployment.close();
 }
 
@@ -93,8 +96,9 @@
 #[test_case(0; "before its first event")]
 #[test_case(4; "in the middle of an event")]
 fn a_stream_that_may_be_continued_goes_on_elsewhere_whole_and_in_order(after: u64) {
-    let workers = vec![("e0", engine(&["m0"])), ("e1", engine(&["m0"]))];
-    let deployment = deployment(workers, 1);
+    // The failing worker is in the instance's own domain, so that requests go there first.
+    let elsewhere = Shape { domain: "b".to_owned(), ..engine(&["m0"]) };
+    let deployment = deployment(vec![("e0", engine(&["m0"])), ("e1", elsewhere)], 1);
     deployment.worker("e0").set_manner(Manner::BreaksAfter(after));
     for number in 0..4 {
         let ask = Ask::post("/stream/again/1", &format!("id{number}")).for_model("m0");
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -222,3 +222,10 @@
         false
     }
 }
+
+// A test that fails leaves no process behind.
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
