Take changed settings over while the instance runs

Cause: SIGHUP compared the file and logged the difference, and a change without a signal was never seen. Ruled out: watching the file by the system (not available on the users' machines). The store's address, seeds, lease, time to stop and budgets are replaced; name, domain and ports hold until the process ends, and a faulty file changes nothing.

--- a/lovageridge/src/cli/gateway.rs
+++ b/lovageridge/src/cli/gateway.rs
@@ -16,13 +16,8 @@
 pub fn run(options: &GatewayOptions) -> Result<(), Exit> {
     let path = options.settings.clone().unwrap_or_else(settings::path);
     let settings = read(&path)?;
-    let in_force = settings.clone();
-    let reload = move || match read(&path) {
-        Ok(changed) if changed == in_force => "unchanged".to_owned(),
-        Ok(_) => "changed; ports and bounds are taken over at the next start".to_owned(),
-        Err(exit) => format!("kept the settings in force: {}", exit.message),
-    };
-    run::run(settings, reload).map_err(anyhow::Error::from)?;
+    let read_again = move || read(&path).map_err(|exit| exit.message);
+    run::run(settings, read_again).map_err(anyhow::Error::from)?;
     Ok(())
 }
 
--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -20,6 +20,7 @@
 pub mod peers;
 pub mod pool;
 pub mod relay;
+pub mod reload;
 pub mod run;
 pub mod serve;
 pub mod settings;
@@ -70,8 +71,6 @@
 
 /// State of one gateway instance.
 pub struct Gateway {
-    /// Settings.
-    pub settings: GatewaySettings,
     /// Start of the process, as Unix time in ms.
     pub incarnation: u64,
     /// Monotonic time.
@@ -112,6 +111,7 @@
     pub refusing: Cell<bool>,
     /// Told when connections of callers shall end after the request in progress.
     pub close_told: Notify,
+    settings: RefCell<Rc<GatewaySettings>>,
     budgets: RefCell<Table<String, Budget>>,
     in_progress: Cell<usize>,
 }
@@ -130,11 +130,10 @@
         let election = Election::new(
             settings.instance_id.clone(),
             incarnation,
-            if settings.workers_check { 0 } else { settings.lease_ms },
+            settings.successor_wait_ms(),
             stagger % CLAIM_STAGGER_MAX_MS,
         );
         Self {
-            settings,
             incarnation,
             clock,
             catalog: RefCell::default(),
@@ -155,6 +154,7 @@
             leaving: Cell::new(false),
             refusing: Cell::new(false),
             close_told: Notify::new(),
+            settings: RefCell::new(Rc::new(settings)),
             budgets: RefCell::default(),
             in_progress: Cell::new(0),
         }
@@ -165,6 +165,17 @@
         self.clock.now_ms()
     }
 
+    /// Returns the settings in force.
+    pub fn settings(&self) -> Rc<GatewaySettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// Puts changed settings in force.
+    pub fn take_settings(&self, settings: GatewaySettings) {
+        self.election.borrow_mut().set_lease_ms(settings.successor_wait_ms());
+        *self.settings.borrow_mut() = Rc::new(settings);
+    }
+
     /// Returns the configuration in force.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.catalog.borrow().clone()
@@ -181,9 +192,9 @@
     /// instances elsewhere.
     pub fn is_cut_off(&self) -> bool {
         let now_ms = self.now_ms();
-        let domain = &self.settings.domain;
-        self.peers.borrow().are_others_silent(domain, now_ms)
-            && self.directory.borrow().are_others_unreachable(domain, now_ms)
+        let settings = self.settings();
+        self.peers.borrow().are_others_silent(&settings.domain, now_ms)
+            && self.directory.borrow().are_others_unreachable(&settings.domain, now_ms)
     }
 
     /// Returns the number of requests in progress.
@@ -198,10 +209,11 @@
     }
 
     fn budget_rule(&self) -> BudgetRule {
+        let settings = self.settings.borrow();
         BudgetRule {
-            permille: self.settings.retry_permille,
-            slack: self.settings.retry_slack,
-            window_ms: self.settings.retry_window_ms,
+            permille: settings.retry_permille,
+            slack: settings.retry_slack,
+            window_ms: settings.retry_window_ms,
         }
     }
 
--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -293,7 +293,7 @@
         service: &call.service,
         model: call.target.as_ref().map(|target| target.model.as_str()),
         adapter: call.target.as_ref().and_then(|target| target.adapter.as_deref()),
-        domain: &gateway.settings.domain,
+        domain: &gateway.settings().domain,
         tried,
         skip_avoided,
     };
--- a/lovageridge/src/gateway/fleet/duty.rs
+++ b/lovageridge/src/gateway/fleet/duty.rs
@@ -65,8 +65,8 @@
     let catalog = gateway.catalog()?;
     let mut fleet = gateway.fleet.borrow_mut();
     let fleet = fleet.as_mut()?;
-    let may_order = gateway.election.borrow().may_order(gateway.settings.workers_check, now_ms);
-    let calls = fleet.tick(&catalog, may_order, gateway.settings.load_window_ms, now_ms);
+    let may_order = gateway.election.borrow().may_order(gateway.settings().workers_check, now_ms);
+    let calls = fleet.tick(&catalog, may_order, gateway.settings().load_window_ms, now_ms);
     for decision in fleet.take_decisions() {
         let line = gateway.log.line(events::LOAD_PLANNED, Weight::Notable);
         line.text("worker", &decision.worker)
@@ -105,7 +105,7 @@
     }
     let claims_end = gateway.election.borrow().end_offset().unwrap_or(0);
     *gateway.lead.borrow_mut() = Some(LeadHeard {
-        instance_id: gateway.settings.instance_id.clone(),
+        instance_id: gateway.settings().instance_id.clone(),
         fence,
         addr: None,
         at_ms: now_ms,
@@ -165,10 +165,10 @@
         Call::Order(order) => {
             // Checked again here, since the lead may have been lost since the decision.
             let now_ms = gateway.now_ms();
-            let checks = gateway.settings.workers_check;
+            let checks = gateway.settings().workers_check;
             let allowed = gateway.election.borrow().may_order(checks, now_ms);
             let answer = if allowed {
-                let body = control::encode_order(&order, &gateway.settings.instance_id);
+                let body = control::encode_order(&order, &gateway.settings().instance_id);
                 let path = control::ORDER_PATH;
                 let asked =
                     link.call(Method::POST, path, headers, Bytes::from(body), CALL_TIMEOUT).await;
--- a/lovageridge/src/gateway/lead.rs
+++ b/lovageridge/src/gateway/lead.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Changes the wait of a successor; a lead in office keeps the one under which it began.
+    pub fn set_lease_ms(&mut self, lease_ms: u64) {
+        self.lease_ms = lease_ms;
+    }
+
     /// Returns the fencing number while the instance leads.
     pub fn fence(&self) -> Option<u64> {
         self.held.map(|held| held.fence)
--- a/lovageridge/src/gateway/lead/duty.rs
+++ b/lovageridge/src/gateway/lead/duty.rs
@@ -23,11 +23,13 @@
 
 /// Takes part in the claims until the process ends.
 pub async fn run(gateway: Rc<Gateway>) {
-    let mut link = Link::new(gateway.settings.store_addr);
+    let mut link = Link::new(gateway.settings().store_addr);
     loop {
         let now_ms = gateway.now_ms();
         let eligible = gateway.is_ready();
-        let own = gateway.settings.instance_id.as_str();
+        let settings = gateway.settings();
+        link.set_addr(settings.store_addr);
+        let own = settings.instance_id.as_str();
         let heard = gateway
             .lead
             .borrow()
@@ -152,7 +154,7 @@
     let released = gateway.election.borrow_mut().release();
     note_lead(gateway);
     if let Some((record, at_offset)) = released {
-        let mut link = Link::new(gateway.settings.store_addr);
+        let mut link = Link::new(gateway.settings().store_addr);
         append(gateway, &mut link, &record, at_offset).await;
     }
 }
--- a/lovageridge/src/gateway/link.rs
+++ b/lovageridge/src/gateway/link.rs
@@ -101,6 +101,19 @@
         Self { addr, sender: None }
     }
 
+    /// Changes the address; a connection to another one is closed.
+    pub fn set_addr(&mut self, addr: SocketAddr) {
+        if addr != self.addr {
+            self.addr = addr;
+            self.close_kept();
+        }
+    }
+
+    /// Closes the kept connection; the next call opens another one.
+    pub fn close_kept(&mut self) {
+        self.sender = None;
+    }
+
     /// Makes a call and reads its whole answer; a call without answer drops the connection.
     ///
     /// # Errors
--- a/lovageridge/src/gateway/peers/duty.rs
+++ b/lovageridge/src/gateway/peers/duty.rs
@@ -81,8 +81,8 @@
     let lead = lead.as_ref().filter(|lead| now_ms <= lead.at_ms + LEAD_TOLD_MS);
     let seen = lead.map(|lead| LeadSeen { fence: lead.fence, age_ms: now_ms - lead.at_ms });
     Message {
-        from: gateway.settings.instance_id.clone(),
-        domain: gateway.settings.domain.clone(),
+        from: gateway.settings().instance_id.clone(),
+        domain: gateway.settings().domain.clone(),
         incarnation: gateway.incarnation,
         progress: gateway.store.borrow().progress,
         lead: seen,
@@ -107,7 +107,7 @@
 }
 
 fn on_message(gateway: &Rc<Gateway>, message: Message, from: SocketAddr) {
-    if message.from == gateway.settings.instance_id {
+    if message.from == gateway.settings().instance_id {
         return;
     }
     let now_ms = gateway.now_ms();
@@ -183,11 +183,12 @@
 
 /// Announces the instance and sends beats until the process ends.
 pub async fn run_beats(gateway: Rc<Gateway>) {
-    let mut link = Link::new(gateway.settings.store_addr);
+    let mut link = Link::new(gateway.settings().store_addr);
     let mut announced = false;
     let mut read_ms: Option<u64> = None;
     loop {
         let now_ms = gateway.now_ms();
+        link.set_addr(gateway.settings().store_addr);
         let alone = gateway.peers.borrow().living(now_ms).next().is_none();
         let read_due = read_ms.is_none_or(|at| alone && now_ms >= at + ALONE_READ_MS);
         if !announced {
@@ -196,8 +197,8 @@
         if read_due {
             read_ms = Some(now_ms);
             read_announced(&gateway, &mut link).await;
-            let seeds = gateway.settings.seeds.iter();
-            let others = seeds.filter(|addr| **addr != gateway.settings.peers_addr);
+            let settings = gateway.settings();
+            let others = settings.seeds.iter().filter(|addr| **addr != settings.peers_addr);
             others.for_each(|addr| send(&gateway, *addr, Content::Beat { ask: true }));
         }
         beat(&gateway);
@@ -209,9 +210,10 @@
 }
 
 async fn announce(gateway: &Gateway, link: &mut Link) -> bool {
-    let text = Announcement { addr: gateway.settings.peers_addr, incarnation: gateway.incarnation };
+    let text =
+        Announcement { addr: gateway.settings().peers_addr, incarnation: gateway.incarnation };
     let value = postcard::to_stdvec(&text).unwrap_or_default();
-    let body = store::frame_keyed(&gateway.settings.instance_id, &value);
+    let body = store::frame_keyed(&gateway.settings().instance_id, &value);
     let path = store::append_path(store::PEERS_TOPIC, None);
     let call = link.call(Method::POST, &path, HeaderMap::new(), Bytes::from(body), STORE_TIMEOUT);
     let done = call.await.is_ok_and(|answer| answer.status_code == 200);
@@ -232,7 +234,7 @@
     let mut addrs = Vec::new();
     for record in page.map(|page| page.records).unwrap_or_default() {
         let Ok(text) = postcard::from_bytes::<Announcement>(&record.value) else { continue };
-        if record.key != gateway.settings.instance_id {
+        if record.key != gateway.settings().instance_id {
             let mut peers = gateway.peers.borrow_mut();
             peers.on_announced(&record.key, text.addr, text.incarnation);
             addrs.push(text.addr);
@@ -325,7 +327,7 @@
     let demand = demand(gateway, now_ms);
     if leads {
         if let Some(fleet) = gateway.fleet.borrow_mut().as_mut() {
-            fleet.on_demand(&gateway.settings.instance_id, demand, now_ms);
+            fleet.on_demand(&gateway.settings().instance_id, demand, now_ms);
         }
         gateway.fleet_due.notify_one();
     } else if let Some(to) = to {
--- a/lovageridge/src/gateway/run.rs
+++ b/lovageridge/src/gateway/run.rs
@@ -18,6 +18,7 @@
 use crate::gateway::lead;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::peers;
+use crate::gateway::reload;
 use crate::gateway::serve;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::sync;
@@ -52,14 +53,13 @@
     Metrics(#[from] prometheus::Error),
 }
 
-/// Runs an instance until it is told to stop; `reload` is called when the settings may have
-/// changed and tells what to log.
+/// Runs an instance until it is told to stop; `read` reads the settings again.
 ///
 /// # Errors
 /// Returns what could not be had at the start.
-pub fn run(settings: GatewaySettings, reload: impl Fn() -> String) -> Result<(), Error> {
+pub fn run(settings: GatewaySettings, read: impl Fn() -> reload::Read) -> Result<(), Error> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, serve_until_told(settings, reload))
+    LocalSet::new().block_on(&runtime, serve_until_told(settings, read))
 }
 
 async fn tcp(addr: SocketAddr) -> Result<TcpListener, Error> {
@@ -68,7 +68,7 @@
 
 async fn serve_until_told(
     settings: GatewaySettings,
-    reload: impl Fn() -> String,
+    read: impl Fn() -> reload::Read,
 ) -> Result<(), Error> {
     let clock = Clock::start();
     let peers_addr = settings.peers_addr;
@@ -82,14 +82,14 @@
     let log = EventLog::start(settings.instance_id.clone(), clock, std::io::stdout())?;
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+    let hangup = signal(SignalKind::hangup())?;
     let gateway = Gateway::new(settings, clock, socket, log, GatewayMetrics::new()?);
     let gateway = Rc::new(gateway);
     gateway
         .log
         .line(events::READY, Weight::Notable)
-        .text("callers", gateway.settings.callers_addr)
-        .text("domain", &gateway.settings.domain)
+        .text("callers", gateway.settings().callers_addr)
+        .text("domain", &gateway.settings().domain)
         .number("incarnation", gateway.incarnation)
         .close();
     let spawn = |gateway: &Rc<Gateway>| Rc::clone(gateway);
@@ -104,15 +104,10 @@
     tokio::task::spawn_local(serve::run_callers(spawn(&gateway), callers));
     tokio::task::spawn_local(serve::run_ready(spawn(&gateway), ready));
     tokio::task::spawn_local(serve::run_metrics(spawn(&gateway), metrics));
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => {
-                let line = gateway.log.line(events::SETTINGS_READ, Weight::Notable);
-                line.text("result", reload()).close();
-            }
-        }
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = reload::run(&gateway, read, hangup) => {}
     }
     close(&gateway).await;
     Ok(())
@@ -124,7 +119,7 @@
     gateway.leaving.set(true);
     gateway.log.line(events::LEAVING, Weight::Notable).close();
     lead::duty::release(gateway).await;
-    let last_ms = told_ms + gateway.settings.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+    let last_ms = told_ms + gateway.settings().grace_ms.saturating_sub(GRACE_MARGIN_MS);
     let linger_until_ms = (told_ms + LINGER_MS).min(last_ms);
     while gateway.now_ms() < linger_until_ms {
         tokio::time::sleep(DRAIN_LOOK).await;
--- a/lovageridge/src/gateway/settings.rs
+++ b/lovageridge/src/gateway/settings.rs
@@ -38,6 +38,28 @@
     pub workers_check: bool,
 }
 
+impl GatewaySettings {
+    /// Returns the time that a new lead leaves after the last order of the one before, in ms; where
+    /// workers check fencing numbers these keep the two apart.
+    pub fn successor_wait_ms(&self) -> u64 {
+        if self.workers_check { 0 } else { self.lease_ms }
+    }
+
+    /// Returns `newer` with the identity and the ports of these settings, which hold until the
+    /// process ends.
+    pub fn updated_with(&self, newer: Self) -> Self {
+        Self {
+            instance_id: self.instance_id.clone(),
+            domain: self.domain.clone(),
+            callers_addr: self.callers_addr,
+            ready_addr: self.ready_addr,
+            peers_addr: self.peers_addr,
+            metrics_addr: self.metrics_addr,
+            ..newer
+        }
+    }
+}
+
 /// Builds [`GatewaySettings`].
 #[derive(Clone, Debug)]
 pub struct GatewaySettingsBuilder {
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -125,10 +125,11 @@
 }
 
 async fn run_tail(gateway: &Gateway, topic: Topic) {
-    let mut link = Link::new(gateway.settings.store_addr);
+    let mut link = Link::new(gateway.settings().store_addr);
     let mut next_offset: Option<u64> = None;
     loop {
         let started_ms = gateway.now_ms();
+        link.set_addr(gateway.settings().store_addr);
         let result = match next_offset {
             None => read_newest(gateway, &mut link, topic).await,
             Some(offset) => read_on(gateway, &mut link, topic, offset).await,
@@ -141,7 +142,7 @@
             }
             Err(reason) => {
                 note_failure(gateway, topic, &reason);
-                link = Link::new(gateway.settings.store_addr);
+                link.close_kept();
                 pause(RETRY_MS).await;
             }
         }
--- a/lovageridge/tests/gateway.rs
+++ b/lovageridge/tests/gateway.rs
@@ -8,6 +8,8 @@
 mod lead;
 #[path = "gateway/requests.rs"]
 mod requests;
+#[path = "gateway/settings.rs"]
+mod settings;
 #[path = "gateway/store.rs"]
 mod store;
 
--- a/standins/src/platform/deployment.rs
+++ b/standins/src/platform/deployment.rs
@@ -213,6 +213,21 @@
         Ok(())
     }
 
+    /// Gives `key` another value in the settings file of an instance; tells nobody.
+    ///
+    /// # Errors
+    /// Returns why the file cannot be changed.
+    pub fn change_settings(&self, at: usize, key: &str, value: &str) -> Result<(), anyhow::Error> {
+        let path = &self.instances[at].settings_file;
+        let text = std::fs::read_to_string(path)?;
+        let start = format!("{key}=");
+        let kept = text.lines().filter(|line| !line.starts_with(&start));
+        let lines: Vec<String> =
+            kept.map(str::to_owned).chain([format!("{start}{value}")]).collect();
+        std::fs::write(path, lines.join("\n"))?;
+        Ok(())
+    }
+
     /// Returns the worker with `id`.
     pub fn worker(&self, id: &str) -> &WorkerStandIn {
         let found = self.workers.iter().find(|worker| worker.id() == id);
--- a/standins/src/process.rs
+++ b/standins/src/process.rs
@@ -198,6 +198,11 @@
         self.signal(Signal::SIGCONT);
     }
 
+    /// Tells the process that its settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::SIGHUP);
+    }
+
     /// Asks the process to shut down gracefully.
     pub fn terminate(&self) {
         self.signal(Signal::SIGTERM);
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -12,6 +12,7 @@
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
@@ -45,6 +46,7 @@
     mode: AtomicU8,
     stopped: AtomicBool,
     open: Mutex<Vec<TcpStream>>,
+    accepted: AtomicU64,
     to: SocketAddr,
 }
 
@@ -67,6 +69,7 @@
             mode: AtomicU8::new(Mode::Pass as u8),
             stopped: AtomicBool::new(false),
             open: Mutex::default(),
+            accepted: AtomicU64::new(0),
             to,
         });
         let for_listener = Arc::clone(&shared);
@@ -79,6 +82,11 @@
         self.addr
     }
 
+    /// Returns the number of connections that were accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.shared.accepted.load(Ordering::SeqCst)
+    }
+
     /// Changes what happens to connections; open ones are cut when traffic no longer passes.
     pub fn set_mode(&self, mode: Mode) {
         self.shared.mode.store(mode as u8, Ordering::SeqCst);
@@ -108,6 +116,7 @@
             thread::sleep(ACCEPT_PAUSE);
             continue;
         };
+        shared.accepted.fetch_add(1, Ordering::SeqCst);
         if shared.mode.load(Ordering::SeqCst) == Mode::Reset as u8 {
             continue;
         }
@@ -229,6 +238,7 @@
         mode: AtomicU8::new(Mode::Pass as u8),
         stopped: AtomicBool::new(false),
         open: Mutex::default(),
+        accepted: AtomicU64::new(0),
         to,
     });
     while !stopped.load(Ordering::SeqCst) {
