Limit the time of a request's head apart from idle time, and pauses in its body

Cause: the HTTP library starts its limit on heads when the connection becomes idle, so it was set to the longer of both limits; a body could stall for ever. Ruled out: closing idle connections at the head's limit (callers reuse them up to four fifths of the idle limit). Change: the connection notes when the first byte of a head arrives; a head that takes longer than its limit and a body that pauses for longer than the idle limit get 408, as the request has not run.

--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -17,6 +17,7 @@
 pub mod link;
 pub mod metrics;
 pub mod orders;
+pub mod patience;
 pub mod peers;
 pub mod pool;
 pub mod relay;
--- /dev/null
+++ b/lovageridge/src/gateway/patience.rs
@@ -0,0 +1,175 @@
+//! How long a caller may leave its connection idle, or take over the head of a request.
+
+use std::cell::Cell;
+use std::future::poll_fn;
+use std::io;
+use std::pin::Pin;
+use std::pin::pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::gateway::catalog::Limits;
+
+/// Time until the next look at a connection whose limits do not run.
+const LOOK_MS: u64 = 60_000;
+
+/// What a caller's connection is about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Phase {
+    /// Nothing has come since the last answer.
+    Idle,
+    /// A head has begun to arrive.
+    Head,
+    /// A request is in progress.
+    Request,
+}
+
+/// A limit that a caller has exceeded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Overdue {
+    /// The connection was idle for too long.
+    Idle,
+    /// A head has not arrived in time.
+    Head,
+}
+
+/// Phase of one caller's connection and its begin.
+#[derive(Debug)]
+pub struct Patience {
+    phase: Cell<Phase>,
+    since: Cell<Instant>,
+    header: Duration,
+    idle: Duration,
+}
+
+impl Patience {
+    /// Returns the state of a connection that has just been made.
+    pub fn new(limits: &Limits) -> Self {
+        Self {
+            phase: Cell::new(Phase::Idle),
+            since: Cell::new(Instant::now()),
+            header: Duration::from_millis(limits.header_timeout_ms),
+            idle: Duration::from_millis(limits.idle_timeout_ms),
+        }
+    }
+
+    fn enter(&self, phase: Phase) {
+        self.phase.set(phase);
+        self.since.set(Instant::now());
+    }
+
+    /// Notes that bytes have arrived.
+    fn on_bytes(&self) {
+        if self.phase.get() == Phase::Idle {
+            self.enter(Phase::Head);
+        }
+    }
+
+    /// Notes that a head is complete.
+    pub fn on_request(&self) {
+        self.phase.set(Phase::Request);
+    }
+
+    /// Notes that the answer has been handed over.
+    pub fn on_answered(&self) {
+        self.enter(Phase::Idle);
+    }
+
+    fn due(&self) -> Option<(Instant, Overdue)> {
+        match self.phase.get() {
+            Phase::Idle => Some((self.since.get() + self.idle, Overdue::Idle)),
+            Phase::Head => Some((self.since.get() + self.header, Overdue::Head)),
+            Phase::Request => None,
+        }
+    }
+
+    /// Waits until a limit is exceeded; polled whenever the connection is.
+    pub async fn overdue(&self) -> Overdue {
+        let mut sleep = pin!(tokio::time::sleep_until(self.since.get() + self.idle));
+        let later = Duration::from_millis(LOOK_MS);
+        poll_fn(|context| {
+            loop {
+                let due = self.due();
+                // A limit that runs out later is noticed when the timer fires.
+                if due.is_some_and(|(at, _)| at < sleep.deadline()) {
+                    sleep.as_mut().reset(due.map_or_else(Instant::now, |(at, _)| at));
+                }
+                ready!(sleep.as_mut().poll(context));
+                let now = Instant::now();
+                match due {
+                    Some((at, overdue)) if now >= at => return Poll::Ready(overdue),
+                    Some((at, _)) => sleep.as_mut().reset(at),
+                    None => sleep.as_mut().reset(now + later),
+                }
+            }
+        })
+        .await
+    }
+}
+
+/// A caller's connection that notes when bytes arrive.
+pub struct CallerStream {
+    stream: TcpStream,
+    patience: Rc<Patience>,
+}
+
+impl CallerStream {
+    /// Returns a connection that reports to `patience`.
+    pub fn new(stream: TcpStream, patience: &Rc<Patience>) -> Self {
+        Self { stream, patience: Rc::clone(patience) }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.patience.on_bytes();
+        }
+        result
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/lovageridge/src/gateway/serve.rs
+++ b/lovageridge/src/gateway/serve.rs
@@ -1,10 +1,11 @@
 //! The callers' port: connections, limits on what callers send, and the choice of a route.
 
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -15,9 +16,10 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 use crate::gateway::Gateway;
 use crate::gateway::answer::OutBody;
@@ -29,6 +31,9 @@
 use crate::gateway::catalog::Route;
 use crate::gateway::eventlog::Weight;
 use crate::gateway::link;
+use crate::gateway::patience::CallerStream;
+use crate::gateway::patience::Overdue;
+use crate::gateway::patience::Patience;
 use crate::gateway::waits::Target;
 use crate::platform;
 use crate::platform::headers;
@@ -42,6 +47,9 @@
 const RETRY_STARTING_MS: u64 = 500;
 /// When to come back after an instance that is stopping refused, in ms; another one takes it.
 const RETRY_STOPPING_MS: u64 = 50;
+/// Answer to a caller whose request's head has not arrived in time.
+const HEAD_TIMED_OUT: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 /// Pause after a failed accept, for descriptors to come free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -68,49 +76,70 @@
         return;
     }
     let limits = gateway.catalog().map_or_else(Limits::default, |catalog| catalog.limits.clone());
-    let for_service = Rc::clone(&gateway);
-    let service = service_fn(move |request| handle(Rc::clone(&for_service), request));
-    // The library counts an idle connection's wait for the next head as part of the head's time,
-    // so the longer of the two limits bounds both.
-    let head_ms = limits.idle_timeout_ms.max(limits.header_timeout_ms);
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(Duration::from_millis(head_ms))
+    let patience = Rc::new(Patience::new(&limits));
+    let stream = CallerStream::new(stream, &patience);
+    let (for_service, for_requests) = (Rc::clone(&gateway), Rc::clone(&patience));
+    let service =
+        service_fn(move |request| handle(Rc::clone(&for_service), &for_requests, request));
+    // The library's own limit counts an idle connection's wait for the next head as part of it.
+    let mut connection = http1::Builder::new()
+        .header_read_timeout(None)
         .max_buf_size(limits.header_bytes.max(HEAD_BUFFER_MIN_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
     // Errors here are callers that went away or broke the protocol, which ends the connection.
-    tokio::select! {
-        _ = connection.as_mut() => {}
-        () = gateway.close_told.notified() => {
-            connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
-        }
+    let overdue = tokio::select! {
+        biased;
+        _ = &mut connection => return,
+        overdue = patience.overdue() => Some(overdue),
+        () = gateway.close_told.notified() => None,
+    };
+    if overdue == Some(Overdue::Head) {
+        gateway.metrics.requests_total.with_label_values(&["", "the head took too long"]).inc();
+        let mut stream = connection.into_parts().io.into_inner();
+        // A caller that no longer reads goes without the answer.
+        let _ = stream.write_all(HEAD_TIMED_OUT).await;
+        return;
     }
+    Pin::new(&mut connection).graceful_shutdown();
+    let _ = connection.await;
 }
 
 /// A request that has arrived and whose answer is not at its end.
-pub struct InProgress(Rc<Gateway>);
+pub struct InProgress {
+    gateway: Rc<Gateway>,
+    patience: Rc<Patience>,
+}
 
 impl InProgress {
-    fn new(gateway: &Rc<Gateway>) -> Self {
+    fn new(gateway: &Rc<Gateway>, patience: &Rc<Patience>) -> Self {
         gateway.count_in_progress(1);
-        Self(Rc::clone(gateway))
+        patience.on_request();
+        Self { gateway: Rc::clone(gateway), patience: Rc::clone(patience) }
     }
 }
 
 // A caller that leaves drops its request wherever that waits.
 impl Drop for InProgress {
     fn drop(&mut self) {
-        self.0.count_in_progress(-1);
+        self.gateway.count_in_progress(-1);
+        self.patience.on_answered();
     }
 }
 
-async fn handle(
+fn handle(
+    gateway: Rc<Gateway>,
+    patience: &Rc<Patience>,
+    request: Request<Incoming>,
+) -> impl Future<Output = Result<Response<OutBody>, Infallible>> + use<> {
+    let counted = InProgress::new(&gateway, patience);
+    answer(gateway, counted, request)
+}
+
+async fn answer(
     gateway: Rc<Gateway>,
+    counted: InProgress,
     request: Request<Incoming>,
 ) -> Result<Response<OutBody>, Infallible> {
-    let counted = InProgress::new(&gateway);
     let mut response = respond(&gateway, request).await;
     response.body_mut().keep_until_end(counted);
     if gateway.leaving.get() {
@@ -137,13 +166,9 @@
     };
     // The body is read before any refusal, so that the answer is not lost to a reset.
     let limits = gateway.catalog().map_or_else(Limits::default, |catalog| catalog.limits.clone());
-    let body = match Limited::new(body, limits.body_bytes).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            return refuse(Refusal::failed(status, "the body is too large"));
-        }
-        Err(_) => return refuse(Refusal::failed(StatusCode::BAD_REQUEST, "the body broke off")),
+    let body = match read_body(body, &limits).await {
+        Ok(body) => body,
+        Err(refusal) => return refuse(refusal),
     };
     if gateway.refusing.get() {
         // What begins now might not end before the kill.
@@ -186,6 +211,32 @@
     attempt::answer(gateway, call).await
 }
 
+/// Reads the whole body of a request.
+async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
+    let mut body = Limited::new(body, limits.body_bytes);
+    let pause = Duration::from_millis(limits.idle_timeout_ms);
+    let mut read: Vec<Bytes> = Vec::new();
+    loop {
+        match timeout(pause, body.frame()).await {
+            Ok(None) if read.len() > 1 => return Ok(read.concat().into()),
+            Ok(None) => return Ok(read.pop().unwrap_or_default()),
+            // Trailers are not passed on.
+            Ok(Some(Ok(frame))) => read.extend(frame.into_data()),
+            Ok(Some(Err(error))) if error.is::<LengthLimitError>() => {
+                let status = StatusCode::PAYLOAD_TOO_LARGE;
+                return Err(Refusal::failed(status, "the body is too large"));
+            }
+            Ok(Some(Err(_))) => {
+                return Err(Refusal::failed(StatusCode::BAD_REQUEST, "the body broke off"));
+            }
+            Err(_) => {
+                let status = StatusCode::REQUEST_TIMEOUT;
+                return Err(Refusal::failed(status, "the body took too long"));
+            }
+        }
+    }
+}
+
 /// Draws one of the route's services by weight, of those with a worker if there are any.
 fn draw_service(route: &Route, catalog: &Catalog, gateway: &Gateway) -> String {
     let directory = gateway.directory.borrow();
--- a/lovageridge/tests/gateway/hostile.rs
+++ b/lovageridge/tests/gateway/hostile.rs
@@ -2,6 +2,7 @@
 
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use standins::platform::caller::Ask;
 use standins::platform::caller::Caller;
@@ -60,6 +61,46 @@
     deployment.close();
 }
 
+#[test]
+fn a_head_that_drips_is_refused_at_its_limit() {
+    let deployment = small(1);
+    let mut caller = Caller::connect(deployment.instances[0].callers).expect("a connection");
+    // Idle time before the head does not count as part of it; the limit is 1 s.
+    thread::sleep(Duration::from_millis(900));
+    let begun = Instant::now();
+    caller.write(b"GET /look/1 HTTP/1.1\r\nHost: site.example\r\nX-Slow: ").expect("sent");
+    for _ in 0..8 {
+        thread::sleep(Duration::from_millis(100));
+        caller.write(b"x").expect("sent");
+    }
+    let reply = caller.read().expect("an answer");
+    assert_eq!(reply.status_code, 408);
+    let passed = begun.elapsed();
+    assert!(passed >= Duration::from_millis(950), "{passed:?}");
+    assert!(passed < Duration::from_millis(1500), "{passed:?}");
+    deployment.close();
+}
+
+#[test]
+fn a_body_that_stalls_is_refused_and_one_that_is_slow_is_not() {
+    let deployment = small(1);
+    let to = deployment.instances[0].callers;
+    let head = "POST /book/1 HTTP/1.1\r\nHost: site.example\r\nX-Lovageridge-Attempt-Id: id1\r\n\
+                Content-Length: 4\r\n\r\n";
+    let mut slow = Caller::connect(to).expect("a connection");
+    let mut stalled = Caller::connect(to).expect("a connection");
+    stalled.write(format!("{head}a").as_bytes()).expect("sent");
+    for piece in [head, "a", "b", "c", "d"] {
+        slow.write(piece.as_bytes()).expect("sent");
+        thread::sleep(Duration::from_millis(600));
+    }
+    assert_eq!(slow.read().expect("an answer").status_code, 200);
+    // The limit on a pause is 2 s.
+    assert_eq!(stalled.read().expect("an answer").status_code, 408);
+    assert_eq!(deployment.worker("p0").runs().len(), 1);
+    deployment.close();
+}
+
 #[test]
 fn many_slow_callers_hold_up_nobody() {
     let deployment = small(1);
