Log the pace of each stream: first event, longest pause, and what was wanted

Cause: a stream answered late by a pause left no trace of it in the log, so late answers could not be explained. Change: stream_ended tells the model, the time to the first event, the longest pause and both objectives.

--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -116,6 +116,25 @@
     cut: EventCut,
     resumable: bool,
     delivered: bool,
+    pace: Pace,
+}
+
+/// When a caller got the events of its stream.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    first_ms: Option<u64>,
+    last_ms: u64,
+    longest_gap_ms: u64,
+}
+
+impl Pace {
+    fn on_events(&mut self, now_ms: u64) {
+        match self.first_ms {
+            None => self.first_ms = Some(now_ms),
+            Some(_) => self.longest_gap_ms = self.longest_gap_ms.max(now_ms - self.last_ms),
+        }
+        self.last_ms = now_ms;
+    }
 }
 
 enum Read {
@@ -137,6 +156,7 @@
             cut: EventCut::default(),
             resumable: call.route.kind == RouteKind::Stream { resumable: true },
             delivered: false,
+            pace: Pace::default(),
         }
     }
 
@@ -147,7 +167,7 @@
             let read = source.read(&self.gateway, &self.call, self.resumable).await;
             match read {
                 Read::Data(bytes) if !self.resumable => {
-                    self.delivered = true;
+                    self.on_delivered();
                     return (Some(Ok(bytes)), self);
                 }
                 Read::Data(bytes) => {
@@ -156,7 +176,7 @@
                         return self.break_off("an event is too large");
                     }
                     if !events.is_empty() {
-                        self.delivered = true;
+                        self.on_delivered();
                         return (Some(Ok(events)), self);
                     }
                 }
@@ -183,13 +203,24 @@
         }
     }
 
+    fn on_delivered(&mut self) {
+        self.delivered = true;
+        self.pace.on_events(self.gateway.now_ms());
+    }
+
     fn end(&mut self) {
         let Some(source) = self.source.take() else { return };
         let ArrivingRest { outcome, sender, in_flight } = source.arriving;
         attempt::keep(&self.gateway, &in_flight.worker_id, sender, &outcome);
+        let first_ms = self.pace.first_ms.unwrap_or(self.call.arrived_ms);
         let line = self.gateway.log.line(events::STREAM_ENDED, Weight::Routine);
         line.text("request", self.call.id())
             .text("worker", &in_flight.worker_id)
+            .text("model", self.call.fields.model.as_deref().unwrap_or(""))
+            .number("first_event_ms", first_ms.saturating_sub(self.call.arrived_ms))
+            .number("objective_ms", self.call.route.objective_ms)
+            .number("longest_gap_ms", self.pace.longest_gap_ms)
+            .number("gap_objective_ms", self.call.route.gap_ms)
             .number("total_ms", self.gateway.now_ms() - self.call.arrived_ms)
             .number("sends", self.tries.sends)
             .close();
