Count silent instances in shared budgets

Cause: the part of an instance in the common budget of repeats was one by the number of peers heard in the last 4 s. Cut off from each other, each took the whole slack: 300, 363 and 359 repeats in a window where 156 are allowed (6, 8 and 30 instances, every request failing). Change: an instance that was heard or announced within two minutes counts; one that knows nobody yet counts its seeds. Before: test repeats_stay_inside_the_common_budget_while_instances_cannot_hear_each_other red (3 cases). After: green.

--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -230,7 +230,9 @@
     pub fn take_repeat(&self, service: &str) -> bool {
         let rule = self.budget_rule();
         let now_ms = self.now_ms();
-        let instances = self.peers.borrow().instance_count(now_ms);
+        // An instance that has not heard of others yet knows of its seeds.
+        let seeds = self.settings.borrow().seeds.len() as u64;
+        let instances = self.peers.borrow().sharing_count(now_ms).max(seeds);
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.get_or_insert_with(service.to_owned(), Budget::default);
         let granted = budget.take(&rule, instances, now_ms);
--- a/lovageridge/src/gateway/budget/tests.rs
+++ b/lovageridge/src/gateway/budget/tests.rs
@@ -1,7 +1,15 @@
 //! Tests of the budget of repeated sends.
 
+use std::net::SocketAddr;
+
+use test_case::test_case;
+
 use crate::gateway::budget::Budget;
 use crate::gateway::budget::BudgetRule;
+use crate::gateway::peers::Content;
+use crate::gateway::peers::Message;
+use crate::gateway::peers::Peers;
+use crate::gateway::peers::Progress;
 
 const RULE: BudgetRule = BudgetRule { permille: 200, slack: 56, window_ms: 10_000 };
 
@@ -41,3 +49,45 @@
     assert!(!budget.take(&RULE, 8, 10_900));
     assert!(budget.take(&RULE, 8, 11_100));
 }
+
+/// Returns what an instance knows that has heard `others` until `heard_ms`.
+fn peers(others: u64, heard_ms: u64) -> Peers {
+    let mut peers = Peers::default();
+    for number in 0..others {
+        let message = Message {
+            from: format!("n{number}"),
+            domain: "a".to_owned(),
+            incarnation: 1,
+            progress: Progress::default(),
+            lead: None,
+            content: Content::Beat { ask: false },
+        };
+        let addr = SocketAddr::from(([127, 0, 0, 1], 9000 + number as u16));
+        peers.on_message(&message, addr, heard_ms);
+    }
+    peers
+}
+
+#[test_case(6)]
+#[test_case(8)]
+#[test_case(30)]
+fn repeats_stay_inside_the_common_budget_while_instances_cannot_hear_each_other(instances: u64) {
+    // All are cut off from each other at 50 s; every request fails and asks for a repeat.
+    let peers = peers(instances - 1, 50_000);
+    let mut budgets: Vec<Budget> = vec![Budget::default(); instances as usize];
+    let mut sent: Vec<(u64, bool)> = Vec::new();
+    for step in 0..30_u64 * 50 {
+        let now_ms = 50_000 + step * 20;
+        let budget = &mut budgets[(step % instances) as usize];
+        budget.on_request(&RULE, now_ms);
+        sent.push((now_ms, budget.take(&RULE, peers.sharing_count(now_ms), now_ms)));
+    }
+    for (from_ms, _) in &sent {
+        let within = |at_ms: &u64| (*from_ms..from_ms + RULE.window_ms).contains(at_ms);
+        let window: Vec<bool> =
+            sent.iter().filter(|(at, _)| within(at)).map(|(_, again)| *again).collect();
+        let repeats = window.iter().filter(|again| **again).count() as u64;
+        let allowed = window.len() as u64 * RULE.permille / 1000 + RULE.slack;
+        assert!(repeats <= allowed, "from {from_ms}: {repeats} of {allowed}");
+    }
+}
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -23,6 +23,9 @@
 const OTHERS_SILENT_MS: u64 = 1200;
 /// Silence after which they are taken to be gone and not cut off, in ms.
 const OTHERS_FORGOTTEN_MS: u64 = 60_000;
+/// Time for which a silent instance counts where all share a budget, in ms; longer than cuts and
+/// restarts take.
+const SHARING_MS: u64 = 120_000;
 
 /// How new the records are that an instance has read from the store.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -161,6 +164,8 @@
     pub addr: SocketAddr,
     /// Start of its process.
     pub incarnation: u64,
+    /// Time at which its address was read from the store, in ms; 0 if it was not.
+    pub announced_ms: u64,
     /// Time it was last heard, in ms; `None` when it is only known by name.
     pub heard_ms: Option<u64>,
     /// What it has read from the store.
@@ -175,13 +180,14 @@
 
 impl Peers {
     /// Notes an announced address.
-    pub fn on_announced(&mut self, name: &str, addr: SocketAddr, incarnation: u64) {
+    pub fn on_announced(&mut self, name: &str, addr: SocketAddr, incarnation: u64, now_ms: u64) {
         let known = self.peers.get(name).is_some_and(|peer| peer.incarnation >= incarnation);
         if !known {
             let peer = Peer {
                 domain: String::new(),
                 addr,
                 incarnation,
+                announced_ms: now_ms,
                 heard_ms: None,
                 progress: Progress::default(),
             };
@@ -199,6 +205,7 @@
             domain: message.domain.clone(),
             addr,
             incarnation: message.incarnation,
+            announced_ms: older.map_or(0, |peer| peer.announced_ms),
             heard_ms: Some(now_ms),
             progress: message.progress,
         };
@@ -217,9 +224,14 @@
         })
     }
 
-    /// Returns the number of instances that live, the own one included.
-    pub fn instance_count(&self, now_ms: u64) -> u64 {
-        self.living(now_ms).count() as u64 + 1
+    /// Returns the number of instances that share what all may do together, the own one included;
+    /// a silent one may be cut off from here and go on serving callers.
+    pub fn sharing_count(&self, now_ms: u64) -> u64 {
+        let shares = |peer: &&Peer| {
+            let known_ms = peer.heard_ms.unwrap_or(0).max(peer.announced_ms);
+            now_ms <= known_ms + SHARING_MS
+        };
+        self.peers.values().filter(shares).count() as u64 + 1
     }
 
     /// Tells whether peers of other failure domains were heard a while ago but not lately.
--- a/lovageridge/src/gateway/peers/duty.rs
+++ b/lovageridge/src/gateway/peers/duty.rs
@@ -236,7 +236,7 @@
         let Ok(text) = postcard::from_bytes::<Announcement>(&record.value) else { continue };
         if record.key != gateway.settings().instance_id {
             let mut peers = gateway.peers.borrow_mut();
-            peers.on_announced(&record.key, text.addr, text.incarnation);
+            peers.on_announced(&record.key, text.addr, text.incarnation, gateway.now_ms());
             addrs.push(text.addr);
         }
     }
--- a/lovageridge/src/gateway/peers/tests.rs
+++ b/lovageridge/src/gateway/peers/tests.rs
@@ -42,10 +42,10 @@
     let mut peers = Peers::default();
     peers.on_message(&beat("n1", "a", 8, 1), addr(2), 100);
     peers.on_message(&beat("n1", "a", 7, 1), addr(1), 200);
-    peers.on_announced("n1", addr(3), 7);
+    peers.on_announced("n1", addr(3), 7, 300);
     let (_, peer) = peers.iter().next().expect("a peer");
     assert_eq!((peer.addr, peer.heard_ms), (addr(2), Some(100)));
-    peers.on_announced("n1", addr(4), 9);
+    peers.on_announced("n1", addr(4), 9, 300);
     let (_, peer) = peers.iter().next().expect("a peer");
     assert_eq!((peer.addr, peer.heard_ms), (addr(4), None));
 }
@@ -79,8 +79,19 @@
 fn an_instance_that_has_heard_nobody_yet_is_not_cut_off() {
     let mut peers = Peers::default();
     assert!(!peers.are_others_silent("a", 5000));
-    peers.on_announced("far", addr(1), 1);
+    peers.on_announced("far", addr(1), 1, 300);
     assert!(!peers.are_others_silent("a", 5000));
     peers.on_message(&beat("near", "a", 1, 1), addr(2), 100);
     assert!(!peers.are_others_silent("a", 5000));
 }
+
+#[test]
+fn a_silent_or_announced_instance_keeps_its_share_for_a_while() {
+    let mut peers = Peers::default();
+    assert_eq!(peers.sharing_count(0), 1);
+    peers.on_message(&beat("n1", "a", 1, 1), addr(1), 1000);
+    peers.on_announced("n2", addr(2), 1, 2000);
+    assert_eq!(peers.sharing_count(60_000), 3);
+    assert_eq!(peers.sharing_count(121_500), 2);
+    assert_eq!(peers.sharing_count(122_500), 1);
+}
