Let all instances return to the store without a herd; log what a choice went by

Cause: after the store's return each instance read both topics twice within a second: 25 to 27 calls a second of 6 instances, where half of the store's 2400 calls shared by 340 instances (and the lead's own) allow 24. Late answers could not be told apart by their wait for a model and their time at the worker. Change: the read that finds the store back is followed by the next one after a second; request_answered tells when the worker was chosen, by which load and of which age.

--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -133,6 +133,24 @@
     pub runs: u32,
     connect_failures: u32,
     same_worker: u32,
+    choice: Option<Choice>,
+}
+
+/// What the last choice of a worker went by, for the log.
+#[derive(Clone, Copy, Debug)]
+struct Choice {
+    // Time from the request's arrival to its first choice of a worker, in ms.
+    first_after_ms: u64,
+    load: u32,
+    load_age_ms: Option<u64>,
+}
+
+impl Tries {
+    fn note_choice(&mut self, chosen: &Chosen, after_ms: u64) {
+        let first_after_ms = self.choice.map_or(after_ms, |choice| choice.first_after_ms);
+        let Chosen { load, load_age_ms, .. } = *chosen;
+        self.choice = Some(Choice { first_after_ms, load, load_age_ms });
+    }
 }
 
 /// A worker that was chosen.
@@ -142,6 +160,7 @@
     addr: std::net::SocketAddr,
     domain: String,
     load: u32,
+    load_age_ms: Option<u64>,
 }
 
 /// Answers a request.
@@ -164,8 +183,10 @@
     let late = waited_ms > call.route.objective_ms;
     let weight = if result.is_err() || late { Weight::Notable } else { Weight::Routine };
     let event = if result.is_ok() { events::REQUEST_ANSWERED } else { events::REQUEST_REFUSED };
-    let line = gateway.log.line(event, weight);
-    line.text("request", call.id())
+    let line = gateway
+        .log
+        .line(event, weight)
+        .text("request", call.id())
         .text("route", &call.route.name)
         .text("model", call.target.as_ref().map_or("", |target| &target.model))
         .text("outcome", outcome)
@@ -174,8 +195,15 @@
         .number("objective_ms", call.route.objective_ms)
         .number("sends", tries.sends)
         .text("workers", tries.workers.join(","))
-        .number("config_version", call.catalog.version)
-        .close();
+        .number("config_version", call.catalog.version);
+    let line = match tries.choice {
+        Some(choice) => line
+            .number("chosen_after_ms", choice.first_after_ms)
+            .number("load", choice.load)
+            .number("load_age_ms", choice.load_age_ms.map_or(-1, i128::from)),
+        None => line,
+    };
+    line.close();
     match result {
         Ok(response) => response,
         Err(refusal) => refusal.into_response(call.fields.id.as_deref()),
@@ -190,6 +218,7 @@
     loop {
         let wait_until_ms = call.wait_until_ms(call.arrived_ms);
         let chosen = await_worker(gateway, call, &tries.workers, wait_until_ms).await?;
+        tries.note_choice(&chosen, gateway.now_ms() - call.arrived_ms);
         let limit_ms = send_limit_ms(gateway, call, tries, &chosen);
         let last_event = None;
         let sent = send(gateway, call, &chosen, tries, last_event, limit_ms).await;
@@ -303,6 +332,7 @@
         addr: worker.record.addr,
         domain: worker.record.domain.clone(),
         load: worker.load_estimate(now_ms),
+        load_age_ms: worker.load_age_ms(now_ms),
     })
 }
 
--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -325,6 +325,11 @@
         self.load_seen = Some((load, self.in_flight, now_ms));
     }
 
+    /// Returns the age of the load that an answer told, in ms.
+    pub fn load_age_ms(&self, now_ms: u64) -> Option<u64> {
+        self.load_seen.map(|(_, _, at_ms)| now_ms.saturating_sub(at_ms))
+    }
+
     /// Estimates the requests there: the own ones, and the others as last told.
     pub fn load_estimate(&self, now_ms: u64) -> u32 {
         let others = match self.load_seen {
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -33,6 +33,9 @@
 /// Shortest time between reads of the workers' records, in ms; half of the time in which a leaving
 /// worker must get no new work, less a read.
 const WORKERS_GAP_MS: u64 = 700;
+/// Time from the first read after the store's return to the next one, in ms: half of the time in
+/// which a configuration has to be in force, so that all instances together do not overrun the store.
+const RETURN_GAP_MS: u64 = 1000;
 /// Pause after a failed read, in ms.
 const RETRY_MS: u64 = 250;
 /// Time after the store's return in which removals may be of living workers, in ms.
@@ -130,6 +133,7 @@
     loop {
         let started_ms = gateway.now_ms();
         link.set_addr(gateway.settings().store_addr);
+        let returns = gateway.store.borrow().is_away();
         let result = match next_offset {
             None => read_newest(gateway, &mut link, topic).await,
             Some(offset) => read_on(gateway, &mut link, topic, offset).await,
@@ -138,7 +142,8 @@
             Ok(offset) => {
                 next_offset = offset;
                 let passed_ms = gateway.now_ms() - started_ms;
-                pause(topic.gap_ms().saturating_sub(passed_ms)).await;
+                let gap_ms = if returns { RETURN_GAP_MS } else { topic.gap_ms() };
+                pause(gap_ms.saturating_sub(passed_ms)).await;
             }
             Err(reason) => {
                 note_failure(gateway, topic, &reason);
--- a/lovageridge/tests/gateway/store.rs
+++ b/lovageridge/tests/gateway/store.rs
@@ -2,10 +2,12 @@
 
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::json;
 use standins::platform::caller::Ask;
 use standins::platform::deployment::Deployment;
+use standins::platform::deployment::Instance;
 use standins::platform::deployment::config;
 use standins::platform::deployment::plain;
 use standins::platform::deployment::wait_for;
@@ -125,6 +127,62 @@
     deployment.close();
 }
 
+/// Calls a second that one of 340 instances may make when half of the store's 2400 a second are left.
+const CALLS_PER_S: f64 = 1200.0 / 340.0;
+/// Calls a second that only the lead makes.
+const LEAD_CALLS_PER_S: f64 = 3.0;
+
+/// Returns an instance's calls to the store by kind and result.
+fn store_calls(instance: &Instance) -> String {
+    let reply = Ask::get("/metrics", "metrics").send(instance.metrics).expect("metrics");
+    let lines = reply.body.lines().filter(|line| line.starts_with("gateway_store_calls_total"));
+    lines.collect::<Vec<_>>().join(" ")
+}
+
+#[test_case(Manner::Refusing; "refusing")]
+#[test_case(Manner::Silent; "silent")]
+fn the_return_of_the_store_brings_no_herd_and_its_news_in_time(manner: Manner) {
+    let deployment = small(6);
+    assert!(wait_for(|| deployment.lead().is_some()));
+    thread::sleep(Duration::from_millis(500));
+    deployment.store.set_manner(manner);
+    let down = Instant::now();
+    let mut served = 0;
+    while down.elapsed() < Duration::from_secs(3) {
+        let to = deployment.instances[served % 6].callers;
+        let reply = Ask::get("/look/1", &format!("id{served}")).send(to).expect("an answer");
+        assert_eq!(reply.status_code, 200, "request {served} while the store is down");
+        served += 1;
+    }
+    assert!(served > 30, "{served} requests");
+    deployment.store.put("keyed.op", "config", &config(9, &json!({})));
+    deployment.store.set_manner(Manner::Sound);
+    let back = Instant::now();
+    let mut counts = vec![(back.elapsed(), deployment.store.calls())];
+    let mut in_force = None;
+    while back.elapsed() < Duration::from_secs(4) {
+        thread::sleep(Duration::from_millis(100));
+        counts.push((back.elapsed(), deployment.store.calls()));
+        let all = (0..6).all(|at| version(&deployment, at) == Some(9.0));
+        in_force = in_force.or_else(|| all.then(|| back.elapsed()));
+    }
+    let passed = in_force.expect("the new configuration");
+    assert!(passed < Duration::from_millis(2000), "in force after {passed:?}");
+    let within_a_second = |(from, before): &(Duration, u64)| {
+        let until = *from + Duration::from_secs(1);
+        counts
+            .iter()
+            .filter(|(at, _)| *at <= until)
+            .map(|(_, after)| after - before.min(after))
+            .max()
+    };
+    let busiest = counts.iter().filter_map(within_a_second).max().expect("a second");
+    let most = CALLS_PER_S * 6.0 + LEAD_CALLS_PER_S;
+    let calls: Vec<String> = deployment.instances.iter().map(store_calls).collect();
+    assert!(busiest as f64 <= most, "{busiest} calls in a second, {most} allowed: {calls:#?}");
+    deployment.close();
+}
+
 #[test]
 fn an_idle_instance_asks_the_store_little() {
     let deployment = small(2);
