Pace claims at a store that refuses them

Cause: an instance whose claim of leadership was refused (503) claimed again at each look, 12 times a second; with the lead gone during an outage all instances do so at once. Ruled out: the reads after the store's return (5 of each instance in 7 s). Change: claims are at least a renewal's interval apart. Before: unit test a_store_that_refuses_claims red, 179 calls in 10 s. After: green, at most 50.

--- a/lovageridge/src/gateway/lead.rs
+++ b/lovageridge/src/gateway/lead.rs
@@ -80,6 +80,8 @@
     unresolved: bool,
     held: Option<Held>,
     tried_ms: u64,
+    // Last claim, so that a store that refuses is asked at intervals.
+    claimed_ms: Option<u64>,
 }
 
 impl Election {
@@ -106,6 +108,7 @@
             unresolved: false,
             held: None,
             tried_ms: 0,
+            claimed_ms: None,
         }
     }
 
@@ -149,10 +152,11 @@
         if self.read_ms.is_none_or(|read_ms| now_ms >= read_ms + READ_MS) {
             return self.read(eligible, now_ms);
         }
-        if now_ms < self.end_seen_ms + self.claim_wait_ms() {
+        let again_ms = self.claimed_ms.map_or(0, |claimed_ms| claimed_ms + RENEW_MS);
+        if now_ms < again_ms.max(self.end_seen_ms + self.claim_wait_ms()) {
             return Step::Idle;
         }
-        self.tried_ms = now_ms;
+        self.claimed_ms = Some(now_ms);
         Step::Append { record: self.record(None, false), at_offset }
     }
 
--- a/lovageridge/src/gateway/lead/tests.rs
+++ b/lovageridge/src/gateway/lead/tests.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::lead::Election;
 use crate::gateway::lead::LeadRecord;
+use crate::gateway::lead::RENEW_MS;
 use crate::gateway::lead::Step;
 use crate::gateway::lead::VALID_MS;
 
@@ -247,3 +248,23 @@
         assert!(world.lead().is_some(), "seed {seed}: no lead after all has healed");
     }
 }
+
+#[test]
+fn a_store_that_refuses_claims_is_asked_no_more_than_twice_a_renewal() {
+    let mut election = Election::new("n1", 1, LEASE_MS, 0);
+    let other =
+        LeadRecord { instance_id: "n0".to_owned(), incarnation: 1, fence: None, released: false };
+    let mut calls = 0;
+    for now_ms in (1000..11_000).step_by(50) {
+        match election.step(true, None, now_ms) {
+            Step::Idle => {}
+            // Reads show a lead that has died; claims are refused, which changes nothing.
+            Step::Read { .. } => {
+                calls += 1;
+                election.on_read(1, &[(0, other.clone())], now_ms);
+            }
+            Step::Append { .. } => calls += 1,
+        }
+    }
+    assert!(calls <= 10_000 / RENEW_MS * 2, "{calls} calls in 10 s");
+}
