Serve the platform's stand-ins with a thread for each connection

Change: store and worker share one listener with a thread for each connection, whose port is closed when close() returns; a deployment takes its two ports in a row as a pair.

--- a/standins/src/platform.rs
+++ b/standins/src/platform.rs
@@ -5,4 +5,5 @@
 pub mod deployment;
 pub mod measure;
 pub mod store;
+pub mod wire;
 pub mod worker;
--- a/standins/src/platform/deployment.rs
+++ b/standins/src/platform/deployment.rs
@@ -179,12 +179,12 @@
     /// Returns why it cannot be started.
     pub fn add_instance(&mut self, name: &str) -> Result<(), anyhow::Error> {
         let port = || free_port().map(|port| SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
-        let (callers, ready, metrics) = (port()?, port()?, port()?);
+        let (callers, ready) = (port()?, port()?);
         // Every instance has an address of its own, as peers share one port number.
         let ip = IpAddr::V4(Ipv4Addr::new(127, 0, 0, 2 + self.instances.len() as u8));
         let peers_port = match self.instances.first() {
             Some(first) => first.metrics.port() - 1,
-            None => metrics.port() - 1,
+            None => free_port_pair()?,
         };
         let text = format!(
             "NodeName={name}\nZone=a\nIp={ip}\nListen.Front={callers}\nListen.Ready={ready}\n\
@@ -252,6 +252,18 @@
     }
 }
 
+/// Returns the lower one of two free ports in a row, which no other deployment gets.
+fn free_port_pair() -> Result<u16, anyhow::Error> {
+    let mut lower = free_port()?;
+    loop {
+        let upper = free_port()?;
+        if upper == lower + 1 {
+            return Ok(lower);
+        }
+        lower = upper;
+    }
+}
+
 fn start(binary: &Path, settings: &Path, log: &Path) -> Result<Process, anyhow::Error> {
     let arguments = ["gateway".to_owned(), "--settings".to_owned(), settings.display().to_string()];
     Process::start_command(binary, &arguments, log)
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -2,22 +2,23 @@
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use serde_json::json;
-use tiny_http::Request;
-use tiny_http::Response;
 
-use crate::http;
-use crate::http::HttpServer;
+use crate::platform::wire::Listener;
+use crate::platform::wire::Request;
+use crate::platform::wire::write_answer;
 
 /// Time for which a silent store keeps a call.
 const SILENCE: Duration = Duration::from_secs(20);
@@ -75,7 +76,7 @@
 
 /// A running store.
 pub struct StoreStandIn {
-    server: HttpServer,
+    listener: Listener,
     shared: Arc<Shared>,
 }
 
@@ -88,13 +89,13 @@
         let state = State { topics: Vec::new(), manner: Manner::Sound, calls: 0 };
         let shared = Arc::new(Shared { state: Mutex::new(state), grown: Condvar::new() });
         let for_calls = Arc::clone(&shared);
-        let server = HttpServer::start(move |request| for_calls.answer(request))?;
-        Ok(Self { server, shared })
+        let listener = Listener::start(move |stream, request| for_calls.answer(stream, request))?;
+        Ok(Self { listener, shared })
     }
 
     /// Returns the address.
     pub fn addr(&self) -> SocketAddr {
-        self.server.addr()
+        self.listener.addr()
     }
 
     /// Changes how the store answers.
@@ -133,7 +134,7 @@
     /// Stops the store.
     pub fn close(self) {
         self.set_manner(Manner::Refusing);
-        self.server.close();
+        self.listener.close();
     }
 }
 
@@ -155,36 +156,31 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn answer(&self, mut request: Request) {
+    /// Answers one call; false when the connection is to be closed.
+    fn answer(&self, stream: &mut TcpStream, request: &Request) -> bool {
         let manner = {
             let mut state = self.lock();
             state.calls += 1;
             state.manner
         };
         match manner {
-            Manner::Refusing => return http::json(request, 503, &json!({})),
-            Manner::Silent => return http::hold(request, SILENCE),
+            Manner::Refusing => return write_json(stream, 503, &json!({})),
+            Manner::Silent => return hold(),
             Manner::Sound | Manner::LosingWrites => {}
         }
-        let name = http::query(&request, "Topic").unwrap_or_default().to_owned();
-        match http::path(&request) {
+        let name = request.query("Topic").unwrap_or_default();
+        match request.bare_path() {
             "/lovageridge/log-append" => {
-                let at: Option<u64> = http::query(&request, "At").and_then(|at| at.parse().ok());
-                let mut body = Vec::new();
-                // A body that breaks off appends nothing, as its length then does not fit.
-                let _ = request.as_reader().read_to_end(&mut body);
-                let (status_code, text) = self.append(&name, at, &body);
+                let at: Option<u64> = request.query("At").and_then(|at| at.parse().ok());
+                let (status_code, text) = self.append(name, at, &request.body);
                 if manner == Manner::LosingWrites {
-                    return http::hold(request, SILENCE);
+                    return hold();
                 }
-                http::json(request, status_code, &text);
+                write_json(stream, status_code, &text)
             }
-            "/lovageridge/log-read" => self.read(request, &name),
-            "/lovageridge/log-newest" => {
-                let text = self.newest(&name);
-                http::json(request, 200, &text);
-            }
-            _ => http::json(request, 404, &json!({})),
+            "/lovageridge/log-read" => self.read(stream, request, name),
+            "/lovageridge/log-newest" => write_json(stream, 200, &self.newest(name)),
+            _ => write_json(stream, 404, &json!({})),
         }
     }
 
@@ -207,8 +203,8 @@
         (200, json!({"Offset": offset, "EndOffset": end}))
     }
 
-    fn read(&self, request: Request, name: &str) {
-        let number = |key: &str| http::query(&request, key).and_then(|text| text.parse().ok());
+    fn read(&self, stream: &mut TcpStream, request: &Request, name: &str) -> bool {
+        let number = |key: &str| request.query(key).and_then(|text| text.parse().ok());
         let from: u64 = number("From").unwrap_or(0);
         let until = Instant::now() + Duration::from_millis(number("WaitMs").unwrap_or(0));
         let mut state = self.lock();
@@ -218,7 +214,7 @@
             if from < topic.first_offset {
                 let first = topic.first_offset;
                 drop(state);
-                return http::json(request, 410, &json!({"FirstOffset": first}));
+                return write_json(stream, 410, &json!({"FirstOffset": first}));
             }
             let left = until.saturating_duration_since(Instant::now());
             if topic.end() > from || left.is_zero() || !sound {
@@ -236,8 +232,7 @@
             bytes.extend_from_slice(record);
         }
         drop(state);
-        // A caller that has left needs no answer.
-        let _ = request.respond(Response::from_data(bytes));
+        write_answer(stream, "200 OK", &bytes)
     }
 
     fn newest(&self, name: &str) -> serde_json::Value {
@@ -248,3 +243,13 @@
         json!({"items": items, "HasMore": false, "EndOffset": topic.end()})
     }
 }
+
+fn write_json(stream: &mut TcpStream, status_code: u16, value: &serde_json::Value) -> bool {
+    write_answer(stream, &format!("{status_code} Status"), value.to_string().as_bytes())
+}
+
+/// Leaves a call without an answer, its connection open and silent.
+fn hold() -> bool {
+    thread::sleep(SILENCE);
+    false
+}
--- /dev/null
+++ b/standins/src/platform/wire.rs
@@ -0,0 +1,160 @@
+//! HTTP on the side of the platform's stand-ins: a thread for each connection, so that a caller that
+//! is kept waiting delays no other.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+
+use crate::process::listen;
+
+/// Most headers of a request.
+const HEADERS_MAX: usize = 64;
+
+/// A request.
+pub struct Request {
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Headers by lowercase name.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    /// Returns a header.
+    pub fn get(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the path without its query.
+    pub fn bare_path(&self) -> &str {
+        self.path.split('?').next().unwrap_or_default()
+    }
+
+    /// Returns the value of the query parameter `name`.
+    pub fn query(&self, name: &str) -> Option<&str> {
+        let (_, query) = self.path.split_once('?')?;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+    }
+
+    /// Returns the body as text.
+    pub fn body_text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// A port whose connections are served until it is closed.
+pub struct Listener {
+    addr: SocketAddr,
+    stopped: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl Listener {
+    /// Listens on a free loopback port; `answer` writes the answer to a request and returns false
+    /// when the connection is to be closed.
+    ///
+    /// # Errors
+    /// Returns why no port can be had.
+    pub fn start(
+        answer: impl Fn(&mut TcpStream, &Request) -> bool + Send + Sync + 'static,
+    ) -> Result<Self, anyhow::Error> {
+        let listener = listen()?;
+        let addr = listener.local_addr()?;
+        let stopped = Arc::new(AtomicBool::new(false));
+        let for_thread = Arc::clone(&stopped);
+        let answer = Arc::new(answer);
+        let thread = thread::spawn(move || accept(&listener, &answer, &for_thread));
+        Ok(Self { addr, stopped, thread })
+    }
+
+    /// Returns the address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Closes the port: when this returns, connections to it are refused.
+    pub fn close(self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        // Wakes the accepting thread; if that fails, it has ended already.
+        let _ = TcpStream::connect(self.addr);
+        // A thread that has panicked has closed its port.
+        let _ = self.thread.join();
+    }
+}
+
+fn accept<F>(listener: &TcpListener, answer: &Arc<F>, stopped: &Arc<AtomicBool>)
+where
+    F: Fn(&mut TcpStream, &Request) -> bool + Send + Sync + 'static,
+{
+    for stream in listener.incoming().flatten() {
+        if stopped.load(Ordering::Relaxed) {
+            return;
+        }
+        let (answer, stopped) = (Arc::clone(answer), Arc::clone(stopped));
+        // A broken connection ends its thread; what matters is in the counts.
+        thread::spawn(move || serve(stream, &*answer, &stopped));
+    }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    answer: &impl Fn(&mut TcpStream, &Request) -> bool,
+    stopped: &AtomicBool,
+) {
+    let mut buffer = Vec::new();
+    while let Some(request) = read_request(&mut stream, &mut buffer) {
+        if stopped.load(Ordering::Relaxed) || !answer(&mut stream, &request) {
+            return;
+        }
+    }
+}
+
+/// Writes an answer; false when the caller has left.
+pub fn write_answer(stream: &mut TcpStream, status: &str, body: &[u8]) -> bool {
+    let mut bytes =
+        format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len()).into_bytes();
+    bytes.extend_from_slice(body);
+    stream.write_all(&bytes).is_ok()
+}
+
+fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Request> {
+    loop {
+        let mut slots = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut head = httparse::Request::new(&mut slots);
+        if let Ok(httparse::Status::Complete(len)) = head.parse(buffer) {
+            let text = |value: &[u8]| String::from_utf8_lossy(value).into_owned();
+            let headers = head.headers.iter();
+            let headers = headers.map(|row| (row.name.to_ascii_lowercase(), text(row.value)));
+            let headers: Vec<(String, String)> = headers.collect();
+            let method = head.method?.to_owned();
+            let path = head.path?.to_owned();
+            let length = headers.iter().find(|(name, _)| name == "content-length");
+            let length: usize = length.and_then(|(_, text)| text.parse().ok()).unwrap_or(0);
+            while buffer.len() < len + length {
+                fill(stream, buffer)?;
+            }
+            let body = buffer[len..len + length].to_vec();
+            buffer.drain(..len + length);
+            return Some(Request { method, path, headers, body });
+        }
+        fill(stream, buffer)?;
+    }
+}
+
+fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<()> {
+    let mut bytes = [0; 4096];
+    let count = stream.read(&mut bytes).ok()?;
+    buffer.extend_from_slice(&bytes[..count]);
+    (count > 0).then_some(())
+}
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -2,7 +2,6 @@
 //!
 //! It counts what really ran, what was broken off, and the most memory that was ever in use.
 
-use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -10,20 +9,18 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use serde_json::json;
 
-use crate::process::listen;
+use crate::platform::wire::Listener;
+use crate::platform::wire::Request;
+use crate::platform::wire::write_answer;
 
 /// Time between looks whether a caller is still there.
 const LOOK: Duration = Duration::from_millis(10);
-/// Most headers of a request.
-const HEADERS_MAX: usize = 64;
 
 /// How the worker answers requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -112,55 +109,30 @@
     born_ms: u64,
     shape: Shape,
     state: Mutex<State>,
-    stopped: AtomicBool,
 }
 
 /// A running worker.
 pub struct WorkerStandIn {
-    addr: SocketAddr,
+    listener: Listener,
     shared: Arc<Shared>,
 }
 
-struct Head {
-    method: String,
-    path: String,
-    headers: Vec<(String, String)>,
-}
-
-impl Head {
-    fn get(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str())
-    }
-}
-
 impl WorkerStandIn {
     /// Starts a worker.
     ///
     /// # Errors
     /// Returns why no port can be had.
     pub fn start(id: &str, shape: Shape) -> Result<Self, anyhow::Error> {
-        let listener = listen()?;
-        let addr = listener.local_addr()?;
         let state = State { held: shape.models.clone(), ..State::default() };
         let shared = Arc::new(Shared {
             id: id.to_owned(),
             born_ms: lovageridge::clock::unix_ms(),
             shape,
             state: Mutex::new(state),
-            stopped: AtomicBool::new(false),
         });
         let for_calls = Arc::clone(&shared);
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                if for_calls.stopped.load(Ordering::Relaxed) {
-                    break;
-                }
-                let shared = Arc::clone(&for_calls);
-                // A broken connection ends its thread; what matters is in the counts.
-                thread::spawn(move || shared.serve(stream));
-            }
-        });
-        Ok(Self { addr, shared })
+        let listener = Listener::start(move |stream, request| for_calls.answer(stream, request))?;
+        Ok(Self { listener, shared })
     }
 
     /// Returns the id.
@@ -170,7 +142,7 @@
 
     /// Returns the address.
     pub fn addr(&self) -> SocketAddr {
-        self.addr
+        self.listener.addr()
     }
 
     /// Changes how it answers.
@@ -213,7 +185,7 @@
             .collect();
         let shape = &self.shared.shape;
         let record = json!({
-            "Service": shape.service, "Address": self.addr.to_string(), "Zone": shape.domain,
+            "Service": shape.service, "Address": self.addr().to_string(), "Zone": shape.domain,
             "Version": "v1", "Slots": 8, "State": state, "ColdLeftMs": 0, "Stage": "colocated",
             "Models": held, "AtHand": {"InMemory": [], "OnDisk": shape.on_disk}, "Seq": 1,
             "born": self.shared.born_ms,
@@ -223,9 +195,7 @@
 
     /// Stops accepting connections.
     pub fn close(self) {
-        self.shared.stopped.store(true, Ordering::Relaxed);
-        // Wakes the accepting thread; if that fails, it has ended already.
-        let _ = TcpStream::connect(self.addr);
+        self.listener.close();
     }
 }
 
@@ -246,17 +216,8 @@
         state.held.clone()
     }
 
-    fn serve(&self, mut stream: TcpStream) {
-        let mut buffer = Vec::new();
-        while let Some(head) = read_request(&mut stream, &mut buffer) {
-            if self.stopped.load(Ordering::Relaxed) || !self.answer(&mut stream, &head) {
-                return;
-            }
-        }
-    }
-
     /// Answers one request; false when the connection is to be closed.
-    fn answer(&self, stream: &mut TcpStream, head: &Head) -> bool {
+    fn answer(&self, stream: &mut TcpStream, head: &Request) -> bool {
         let held = self.settled();
         let expected = head.get("x-lovageridge-expect-instance");
         if expected.is_some_and(|id| id != self.id) {
@@ -288,7 +249,7 @@
         keeps.unwrap_or(false)
     }
 
-    fn begin(&self, head: &Head) -> usize {
+    fn begin(&self, head: &Request) -> usize {
         let forged = head.get("x-lovageridge-hold").is_some() || head.get("kv-from").is_some();
         let run = Run {
             id: head.get("x-lovageridge-attempt-id").unwrap_or_default().to_owned(),
@@ -304,7 +265,7 @@
         state.runs.len() - 1
     }
 
-    fn head_text(&self, head: &Head, status: &str, manner: Manner) -> String {
+    fn head_text(&self, head: &Request, status: &str, manner: Manner) -> String {
         let id = head.get("x-lovageridge-attempt-id").unwrap_or_default();
         let id = if manner == Manner::ForeignId { "another" } else { id };
         let seal = match manner {
@@ -315,7 +276,7 @@
     }
 
     /// Answers a plain call; `None` when the caller left, else whether the connection stays.
-    fn plain(&self, stream: &mut TcpStream, head: &Head, manner: Manner) -> Option<bool> {
+    fn plain(&self, stream: &mut TcpStream, head: &Request, manner: Manner) -> Option<bool> {
         let until = Instant::now() + Duration::from_millis(self.shape.work_ms);
         while Instant::now() < until {
             thread::sleep(LOOK.min(until - Instant::now()));
@@ -339,7 +300,7 @@
     }
 
     /// Answers with a stream; `None` when the caller left, else whether the connection stays.
-    fn stream(&self, stream: &mut TcpStream, head: &Head, manner: Manner) -> Option<bool> {
+    fn stream(&self, stream: &mut TcpStream, head: &Request, manner: Manner) -> Option<bool> {
         if manner == Manner::Mute {
             return wait_until_left(stream);
         }
@@ -365,7 +326,7 @@
         Some(true)
     }
 
-    fn refuse(&self, stream: &mut TcpStream, head: &Head, status: &str) -> bool {
+    fn refuse(&self, stream: &mut TcpStream, head: &Request, status: &str) -> bool {
         let id = head.get("x-lovageridge-attempt-id").unwrap_or_default();
         let text = format!(
             "HTTP/1.1 {status}\r\nX-Lovageridge-Attempt-Id: {id}\r\nX-Lovageridge-Not-Executed: 1\r\n\
@@ -385,16 +346,15 @@
             "AtHand": {"InMemory": [], "OnDisk": self.shape.on_disk}, "born": self.born_ms,
         });
         drop(state);
-        write_json(stream, "200 OK", &body.to_string())
+        write_answer(stream, "200 OK", body.to_string().as_bytes())
     }
 
-    fn order(&self, stream: &mut TcpStream, head: &Head) -> bool {
-        let text = head.get("body").unwrap_or_default();
-        let Ok(order) = serde_json::from_str::<serde_json::Value>(text) else {
-            return write_json(stream, "400 Bad Request", "{}");
+    fn order(&self, stream: &mut TcpStream, head: &Request) -> bool {
+        let Ok(order) = serde_json::from_slice::<serde_json::Value>(&head.body) else {
+            return write_answer(stream, "400 Bad Request", b"{}");
         };
         let status = self.carry_out(&order);
-        write_json(stream, status, "{}")
+        write_answer(stream, status, b"{}")
     }
 
     fn carry_out(&self, order: &serde_json::Value) -> &'static str {
@@ -429,11 +389,6 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-fn write_json(stream: &mut TcpStream, status: &str, body: &str) -> bool {
-    let text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
-    stream.write_all(text.as_bytes()).is_ok()
-}
-
 /// Tells whether the other side has closed the connection.
 fn has_left(stream: &TcpStream) -> bool {
     let mut byte = [0];
@@ -453,40 +408,3 @@
     }
     None
 }
-
-/// Reads one request; the body of a call is added to the headers under `body`.
-fn read_request(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<Head> {
-    loop {
-        let mut slots = [httparse::EMPTY_HEADER; HEADERS_MAX];
-        let mut request = httparse::Request::new(&mut slots);
-        if let Ok(httparse::Status::Complete(len)) = request.parse(buffer) {
-            let mut headers: Vec<(String, String)> = request
-                .headers
-                .iter()
-                .map(|header| {
-                    let value = String::from_utf8_lossy(header.value).into_owned();
-                    (header.name.to_ascii_lowercase(), value)
-                })
-                .collect();
-            let method = request.method?.to_owned();
-            let path = request.path?.to_owned();
-            let length = headers.iter().find(|(name, _)| name == "content-length");
-            let length: usize = length.and_then(|(_, text)| text.parse().ok()).unwrap_or(0);
-            while buffer.len() < len + length {
-                fill(stream, buffer)?;
-            }
-            let body = String::from_utf8_lossy(&buffer[len..len + length]).into_owned();
-            buffer.drain(..len + length);
-            headers.push(("body".to_owned(), body));
-            return Some(Head { method, path, headers });
-        }
-        fill(stream, buffer)?;
-    }
-}
-
-fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<()> {
-    let mut bytes = [0; 4096];
-    let count = stream.read(&mut bytes).ok()?;
-    buffer.extend_from_slice(&bytes[..count]);
-    (count > 0).then_some(())
-}
