--- a/lovageridge/src/gateway/patience.rs
+++ b/lovageridge/src/gateway/caller_timeouts.rs
@@ -1,4 +1,4 @@
-//! How long a caller may leave its connection idle, or take over the head of a request.
+//! Time limits on a caller's connection: while it is idle, and for the head of a request.
 
 use std::cell::Cell;
 use std::future::poll_fn;
@@ -20,7 +20,7 @@
 use crate::gateway::catalog::Limits;
 
 /// Time until the next look at a connection whose limits do not run.
-const LOOK_MS: u64 = 60_000;
+const LOOK: Duration = Duration::from_secs(60);
 
 /// What a caller's connection is about.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -35,7 +35,7 @@
 
 /// A limit that a caller has exceeded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Overdue {
+pub enum Expired {
     /// The connection was idle for too long.
     Idle,
     /// A head has not arrived in time.
@@ -44,14 +44,14 @@
 
 /// Phase of one caller's connection and its begin.
 #[derive(Debug)]
-pub struct Patience {
+pub struct CallerTimeouts {
     phase: Cell<Phase>,
     since: Cell<Instant>,
     header: Duration,
     idle: Duration,
 }
 
-impl Patience {
+impl CallerTimeouts {
     /// Returns the state of a connection that has just been made.
     pub fn new(limits: &Limits) -> Self {
         Self {
@@ -84,31 +84,32 @@
         self.enter(Phase::Idle);
     }
 
-    fn due(&self) -> Option<(Instant, Overdue)> {
+    fn due(&self) -> Option<(Instant, Expired)> {
         match self.phase.get() {
-            Phase::Idle => Some((self.since.get() + self.idle, Overdue::Idle)),
-            Phase::Head => Some((self.since.get() + self.header, Overdue::Head)),
+            Phase::Idle => Some((self.since.get() + self.idle, Expired::Idle)),
+            Phase::Head => Some((self.since.get() + self.header, Expired::Head)),
             Phase::Request => None,
         }
     }
 
     /// Waits until a limit is exceeded; polled whenever the connection is.
-    pub async fn overdue(&self) -> Overdue {
+    pub async fn expired(&self) -> Expired {
         let mut sleep = pin!(tokio::time::sleep_until(self.since.get() + self.idle));
-        let later = Duration::from_millis(LOOK_MS);
         poll_fn(|context| {
             loop {
                 let due = self.due();
                 // A limit that runs out later is noticed when the timer fires.
-                if due.is_some_and(|(at, _)| at < sleep.deadline()) {
-                    sleep.as_mut().reset(due.map_or_else(Instant::now, |(at, _)| at));
+                if let Some((at, _)) = due
+                    && at < sleep.deadline()
+                {
+                    sleep.as_mut().reset(at);
                 }
                 ready!(sleep.as_mut().poll(context));
                 let now = Instant::now();
                 match due {
-                    Some((at, overdue)) if now >= at => return Poll::Ready(overdue),
+                    Some((at, expired)) if now >= at => return Poll::Ready(expired),
                     Some((at, _)) => sleep.as_mut().reset(at),
-                    None => sleep.as_mut().reset(now + later),
+                    None => sleep.as_mut().reset(now + LOOK),
                 }
             }
         })
@@ -119,13 +120,13 @@
 /// A caller's connection that notes when bytes arrive.
 pub struct CallerStream {
     stream: TcpStream,
-    patience: Rc<Patience>,
+    timeouts: Rc<CallerTimeouts>,
 }
 
 impl CallerStream {
-    /// Returns a connection that reports to `patience`.
-    pub fn new(stream: TcpStream, patience: &Rc<Patience>) -> Self {
-        Self { stream, patience: Rc::clone(patience) }
+    /// Returns a connection that reports to `timeouts`.
+    pub fn new(stream: TcpStream, timeouts: &Rc<CallerTimeouts>) -> Self {
+        Self { stream, timeouts: Rc::clone(timeouts) }
     }
 }
 
@@ -138,7 +139,7 @@
         let before = buffer.filled().len();
         let result = Pin::new(&mut self.stream).poll_read(context, buffer);
         if buffer.filled().len() > before {
-            self.patience.on_bytes();
+            self.timeouts.on_bytes();
         }
         result
     }
--- a/lovageridge/src/gateway/serve.rs
+++ b/lovageridge/src/gateway/serve.rs
@@ -26,14 +26,14 @@
 use crate::gateway::answer::Refusal;
 use crate::gateway::attempt;
 use crate::gateway::attempt::Call;
+use crate::gateway::caller_timeouts::CallerStream;
+use crate::gateway::caller_timeouts::CallerTimeouts;
+use crate::gateway::caller_timeouts::Expired;
 use crate::gateway::catalog::Catalog;
 use crate::gateway::catalog::Limits;
 use crate::gateway::catalog::Route;
 use crate::gateway::eventlog::Weight;
 use crate::gateway::link;
-use crate::gateway::patience::CallerStream;
-use crate::gateway::patience::Overdue;
-use crate::gateway::patience::Patience;
 use crate::gateway::waits::Target;
 use crate::platform;
 use crate::platform::headers;
@@ -76,9 +76,9 @@
         return;
     }
     let limits = gateway.catalog().map_or_else(Limits::default, |catalog| catalog.limits.clone());
-    let patience = Rc::new(Patience::new(&limits));
-    let stream = CallerStream::new(stream, &patience);
-    let (for_service, for_requests) = (Rc::clone(&gateway), Rc::clone(&patience));
+    let timeouts = Rc::new(CallerTimeouts::new(&limits));
+    let stream = CallerStream::new(stream, &timeouts);
+    let (for_service, for_requests) = (Rc::clone(&gateway), Rc::clone(&timeouts));
     let service =
         service_fn(move |request| handle(Rc::clone(&for_service), &for_requests, request));
     // The library's own limit counts an idle connection's wait for the next head as part of it.
@@ -87,14 +87,17 @@
         .max_buf_size(limits.header_bytes.max(HEAD_BUFFER_MIN_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     // Errors here are callers that went away or broke the protocol, which ends the connection.
-    let overdue = tokio::select! {
+    let expired = tokio::select! {
         biased;
         _ = &mut connection => return,
-        overdue = patience.overdue() => Some(overdue),
+        expired = timeouts.expired() => Some(expired),
         () = gateway.close_told.notified() => None,
     };
-    if overdue == Some(Overdue::Head) {
-        gateway.metrics.requests_total.with_label_values(&["", "the head took too long"]).inc();
+    if expired == Some(Expired::Head) {
+        let cause = "the head took too long";
+        gateway.metrics.requests_total.with_label_values(&["", cause]).inc();
+        let line = gateway.log.line(events::REQUEST_REFUSED, Weight::Notable);
+        line.text("outcome", cause).number("status", StatusCode::REQUEST_TIMEOUT.as_u16()).close();
         let mut stream = connection.into_parts().io.into_inner();
         // A caller that no longer reads goes without the answer.
         let _ = stream.write_all(HEAD_TIMED_OUT).await;
@@ -107,14 +110,14 @@
 /// A request that has arrived and whose answer is not at its end.
 pub struct InProgress {
     gateway: Rc<Gateway>,
-    patience: Rc<Patience>,
+    timeouts: Rc<CallerTimeouts>,
 }
 
 impl InProgress {
-    fn new(gateway: &Rc<Gateway>, patience: &Rc<Patience>) -> Self {
+    fn new(gateway: &Rc<Gateway>, timeouts: &Rc<CallerTimeouts>) -> Self {
         gateway.count_in_progress(1);
-        patience.on_request();
-        Self { gateway: Rc::clone(gateway), patience: Rc::clone(patience) }
+        timeouts.on_request();
+        Self { gateway: Rc::clone(gateway), timeouts: Rc::clone(timeouts) }
     }
 }
 
@@ -122,16 +125,16 @@
 impl Drop for InProgress {
     fn drop(&mut self) {
         self.gateway.count_in_progress(-1);
-        self.patience.on_answered();
+        self.timeouts.on_answered();
     }
 }
 
 fn handle(
     gateway: Rc<Gateway>,
-    patience: &Rc<Patience>,
+    timeouts: &Rc<CallerTimeouts>,
     request: Request<Incoming>,
 ) -> impl Future<Output = Result<Response<OutBody>, Infallible>> + use<> {
-    let counted = InProgress::new(&gateway, patience);
+    let counted = InProgress::new(&gateway, timeouts);
     answer(gateway, counted, request)
 }
 
