Refuse what waits for a model when a stopping instance takes no more

Change: once an instance takes no further requests, those that were not sent yet are refused as not run, to come back at once.

--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -198,6 +198,13 @@
             && self.directory.borrow().are_others_unreachable(&settings.domain, now_ms)
     }
 
+    /// Waits until a stopping instance begins no further request.
+    pub async fn until_refusing(&self) {
+        while !self.refusing.get() {
+            self.close_told.notified().await;
+        }
+    }
+
     /// Returns the number of requests in progress.
     pub fn in_progress(&self) -> usize {
         self.in_progress.get()
--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -65,6 +65,8 @@
 const RETRY_BUSY_MS: u64 = 150;
 /// When to come back to a service without workers, or an instance without configuration, in ms.
 const RETRY_ABSENT_MS: u64 = 800;
+/// When to come back after an instance that is stopping refused, in ms; another one takes it.
+pub const RETRY_STOPPING_MS: u64 = 50;
 /// When to come back to an instance that is cut off, in ms: by then the balancer, which goes by two
 /// questions a second apart, sends callers elsewhere.
 const RETRY_CUT_OFF_MS: u64 = 1500;
@@ -217,7 +219,14 @@
 ) -> Result<Response<OutBody>, Refusal> {
     loop {
         let wait_until_ms = call.wait_until_ms(call.arrived_ms);
-        let chosen = await_worker(gateway, call, &tries.workers, wait_until_ms).await?;
+        let chosen = tokio::select! {
+            biased;
+            chosen = await_worker(gateway, call, &tries.workers, wait_until_ms) => chosen?,
+            // What begins now might not end before the kill.
+            () = gateway.until_refusing() => {
+                return Err(Refusal::not_run("the instance is stopping", RETRY_STOPPING_MS));
+            }
+        };
         tries.note_choice(&chosen, gateway.now_ms() - call.arrived_ms);
         let limit_ms = send_limit_ms(gateway, call, tries, &chosen);
         let last_event = None;
--- a/lovageridge/src/gateway/serve.rs
+++ b/lovageridge/src/gateway/serve.rs
@@ -26,6 +26,7 @@
 use crate::gateway::answer::Refusal;
 use crate::gateway::attempt;
 use crate::gateway::attempt::Call;
+use crate::gateway::attempt::RETRY_STOPPING_MS;
 use crate::gateway::caller_timeouts::CallerStream;
 use crate::gateway::caller_timeouts::CallerTimeouts;
 use crate::gateway::caller_timeouts::Expired;
@@ -45,8 +46,6 @@
 const DEFAULT_DEADLINE_MS: u64 = 30_000;
 /// When to come back to an instance that knows no configuration yet, in ms.
 const RETRY_STARTING_MS: u64 = 500;
-/// When to come back after an instance that is stopping refused, in ms; another one takes it.
-const RETRY_STOPPING_MS: u64 = 50;
 /// Answer to a caller whose request's head has not arrived in time.
 const HEAD_TIMED_OUT: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
--- a/lovageridge/tests/gateway/requests.rs
+++ b/lovageridge/tests/gateway/requests.rs
@@ -8,7 +8,9 @@
 use standins::platform::caller::Ask;
 use standins::platform::caller::Caller;
 use standins::platform::deployment::config;
+use standins::platform::deployment::engine;
 use standins::platform::deployment::wait_for;
+use standins::platform::worker::Shape;
 
 use crate::deployment;
 use crate::events;
@@ -67,13 +69,7 @@
 #[test]
 fn a_caller_that_leaves_ends_the_work_of_its_worker() {
     let deployment = deployment(
-        vec![(
-            "e0",
-            standins::platform::worker::Shape {
-                events: 200,
-                ..standins::platform::deployment::engine(&["m0"])
-            },
-        )],
+        vec![("e0", Shape { events: 200, ..standins::platform::deployment::engine(&["m0"]) })],
         1,
     );
     let mut caller = Caller::connect(deployment.instances[0].callers).expect("a connection");
@@ -151,11 +147,7 @@
 
 #[test]
 fn a_stopping_instance_cuts_no_stream_and_refuses_what_comes_too_late() {
-    let shape = standins::platform::worker::Shape {
-        events: 40,
-        gap_ms: 100,
-        ..standins::platform::deployment::engine(&["m0"])
-    };
+    let shape = Shape { events: 40, gap_ms: 100, ..engine(&["m0"]) };
     let mut deployment = deployment(vec![("e0", shape)], 1);
     let to = deployment.instances[0].callers;
     let long = |id: &str| {
@@ -180,3 +172,28 @@
     assert!(deployment.instances[0].process.wait(Duration::from_secs(6)), "it ends by itself");
     deployment.close();
 }
+
+#[test]
+fn a_stopping_instance_refuses_what_still_waits_for_a_model() {
+    // Loads take longer than the time to stop, and callers would wait for 8 s.
+    let slow = Shape { load_ms: 20_000, ..engine(&["m0", "m1"]) };
+    let mut deployment = deployment(vec![("e0", slow)], 1);
+    let routes = json!([{
+        "Name": "patient", "Host": "site.example", "PathPrefix": "/stream/patient/",
+        "RouteType": "streaming", "TimeoutMs": 15_000, "TargetLatencyMs": 3000, "MaxAttempts": 2,
+        "Service": "engine", "Resumable": true, "TargetGapMs": 200,
+    }]);
+    deployment.store.put("keyed.op", "config", &config(2, &json!({"Routes": routes})));
+    let to = deployment.instances[0].callers;
+    let in_force = || deployment.instances[0].metric("gateway_config_version ") == Some(2.0);
+    assert!(wait_for(in_force));
+    let ask = Ask::post("/stream/patient/1", "id1").for_model("m5");
+    let waiting = thread::spawn(move || ask.send(to));
+    thread::sleep(Duration::from_millis(200));
+    deployment.instances[0].process.terminate();
+    let reply = waiting.join().expect("a thread").expect("an answer");
+    assert_eq!(reply.status_code, 503);
+    assert!(deployment.instances[0].process.wait(Duration::from_secs(6)), "it ends by itself");
+    assert!(deployment.worker("e0").runs().is_empty());
+    deployment.close();
+}
