--- a/lovageridge/tests/gateway/requests.rs
+++ b/lovageridge/tests/gateway/requests.rs
@@ -68,10 +68,7 @@
 
 #[test]
 fn a_caller_that_leaves_ends_the_work_of_its_worker() {
-    let deployment = deployment(
-        vec![("e0", Shape { events: 200, ..standins::platform::deployment::engine(&["m0"]) })],
-        1,
-    );
+    let deployment = deployment(vec![("e0", Shape { events: 200, ..engine(&["m0"]) })], 1);
     let mut caller = Caller::connect(deployment.instances[0].callers).expect("a connection");
     caller.write(&Ask::post("/stream/once/1", "id1").for_model("m0").bytes()).expect("sent");
     caller.read_until("token 1\n").expect("an event");
@@ -85,7 +82,7 @@
 
 #[test]
 fn a_caller_that_leaves_before_its_first_event_ends_the_work_of_its_worker() {
-    let deployment = deployment(vec![("e0", standins::platform::deployment::engine(&["m0"]))], 1);
+    let deployment = deployment(vec![("e0", engine(&["m0"]))], 1);
     deployment.worker("e0").set_manner(standins::platform::worker::Manner::Mute);
     let mut caller = Caller::connect(deployment.instances[0].callers).expect("a connection");
     caller.write(&Ask::post("/stream/once/1", "id1").for_model("m0").bytes()).expect("sent");
