--- a/lovageridge/tests/gateway/hostile.rs
+++ b/lovageridge/tests/gateway/hostile.rs
@@ -61,6 +61,18 @@
     deployment.close();
 }
 
+#[test]
+fn a_connection_without_any_request_is_closed() {
+    let deployment = small(1);
+    let mut caller = Caller::connect(deployment.instances[0].callers).expect("a connection");
+    let begun = Instant::now();
+    assert!(caller.read().is_err(), "an answer without a request");
+    // Twice the idle limit of 2 s.
+    let passed = begun.elapsed();
+    assert!(passed < Duration::from_millis(4500), "open after {passed:?}");
+    deployment.close();
+}
+
 #[test]
 fn a_head_that_drips_is_refused_at_its_limit() {
     let deployment = small(1);
