Bound what the log's writer takes at once

Cause: the writer joined all lines that waited into one write. While requests kept adding lines, it kept taking them and never wrote, so its buffer grew past the 4096 lines that the ring allows, without any count. Ruled out: the test's bound; a ring of 4096 lines must drop 4096 of three times as many. Change: one write takes 64 lines at most. Conclusion: the volume in memory is bounded again.

--- a/lovageridge/src/gateway/eventlog.rs
+++ b/lovageridge/src/gateway/eventlog.rs
@@ -23,6 +23,8 @@
 
 /// Lines that may wait for the writer.
 const RING_LINES: usize = 4096;
+/// Further lines in one write, so that a burst costs few calls of the system.
+const BATCH_LINES: usize = 63;
 /// Routine lines a second; 30 requests a second with two lines each fit.
 const ROUTINE_PER_S: u64 = 60;
 /// Routine lines that may come at once.
@@ -118,8 +120,9 @@
 
 fn write_lines(lines: &flume::Receiver<String>, mut out: impl Write) {
     while let Ok(mut text) = lines.recv() {
-        // Lines that wait already go out in the same write.
-        text.extend(lines.try_iter());
+        // Lines that wait already go out in the same write, but no more than fit into one: those
+        // that a writer holds are not counted by the ring.
+        text.extend(lines.try_iter().take(BATCH_LINES));
         // A reader that went away leaves nobody to tell.
         let _ = out.write_all(text.as_bytes()).and_then(|()| out.flush());
     }
