Tell the reason of each failed call to the store, peer or worker; name limits that stood as figures

Ruled out: telling them at the ring's loud weight, since an outage repeats them; they are routine lines. Change: E0718 and E0719, a reason on each line; named constants; fields of a call that nothing read go. Conclusion: an outage of the store can be told from refusals by the log alone.

--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -53,8 +53,14 @@
 const WHOLE_ANSWER_MAX_BYTES: usize = 2 << 20;
 /// Pause of callers before they leave a stream without events, at least, in ms.
 const CALLER_PATIENCE_MS: u64 = 2000;
+/// Objectives for which callers wait for the first event, if that is longer; as the interface says.
+const PATIENCE_OBJECTIVES: u64 = 4;
+/// Wanted pauses for which callers wait for an event, if that is longer; as the interface says.
+const PATIENCE_GAPS: u64 = 8;
 /// Part of a caller's patience for which a request waits for a model, in percent.
 const WAIT_PATIENCE_PCT: u64 = 70;
+/// Objectives for a first answer before another worker is tried: the second try is late in any case.
+const SWITCH_OBJECTIVES: u64 = 2;
 /// Shortest time for a first answer before another worker is tried, in ms.
 const SWITCH_MIN_MS: u64 = 250;
 /// Shortest time to the first event before another worker is tried, in ms.
@@ -114,8 +120,8 @@
     /// caller's last event.
     fn wait_until_ms(&self, since_ms: u64) -> u64 {
         let patience_ms = if self.route.kind.is_stream() {
-            let by_objective = self.route.objective_ms * 4;
-            CALLER_PATIENCE_MS.max(by_objective).max(self.route.gap_ms * 8)
+            let by_objective = self.route.objective_ms * PATIENCE_OBJECTIVES;
+            CALLER_PATIENCE_MS.max(by_objective).max(self.route.gap_ms * PATIENCE_GAPS)
         } else {
             self.give_up_ms.saturating_sub(self.arrived_ms)
         };
@@ -277,7 +283,7 @@
     let switch_ms = if call.route.kind.is_stream() {
         call.route.objective_ms.max(SWITCH_STREAM_MIN_MS)
     } else {
-        (call.route.objective_ms * 2).max(SWITCH_MIN_MS)
+        (call.route.objective_ms * SWITCH_OBJECTIVES).max(SWITCH_MIN_MS)
     };
     left_ms.min(switch_ms)
 }
--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -28,6 +28,12 @@
 /// Longest time for a connection to a worker; within a region one takes 3 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Lowest rank of routes that workers tell apart: they know ten urgencies.
+const LAST_RANK: u32 = 4;
+/// Urgencies of each rank: one for interactive routes, one for others.
+const URGENCIES_PER_RANK: u32 = 2;
+/// Objective up to which a route is interactive, in ms.
+const INTERACTIVE_MS: u64 = 1000;
 /// Result of a send that its worker did not run.
 const NOT_EXECUTED: &str = "not_executed";
 
@@ -120,7 +126,10 @@
     };
     let request = match upstream_request(call, chosen, remaining_ms, last_event) {
         Ok(request) => request,
-        Err(_) => return Sent::NotSent,
+        Err(error) => {
+            log_send(gateway, call, chosen, "the request cannot be passed on", &error.to_string());
+            return Sent::NotSent;
+        }
     };
     let sending = timeout(ms(limit_ms), sender.try_send_request(request));
     let result = match sending.await {
@@ -202,8 +211,8 @@
 
 /// Returns the urgency at the worker: by the route's rank, then by how soon callers want the start.
 fn urgency(route: &Route) -> u8 {
-    let slack = if route.objective_ms <= 1000 { 0 } else { 1 };
-    (route.rank.min(4) * 2 + slack) as u8
+    let slack = if route.objective_ms <= INTERACTIVE_MS { 0 } else { 1 };
+    (route.rank.min(LAST_RANK) * URGENCIES_PER_RANK + slack) as u8
 }
 
 fn count_send(
--- a/lovageridge/src/gateway/call.rs
+++ b/lovageridge/src/gateway/call.rs
@@ -11,12 +11,6 @@
     pub model: Option<String>,
     /// Adapter of the model.
     pub adapter: Option<String>,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u64,
-    /// Most tokens of the answer.
-    pub output_tokens: u64,
-    /// First part of the prompt, which many requests share.
-    pub shared_part: Option<String>,
     /// Event after which a stream shall go on.
     pub last_event: Option<String>,
 }
--- a/lovageridge/src/gateway/catalog.rs
+++ b/lovageridge/src/gateway/catalog.rs
@@ -110,6 +110,7 @@
     pub idle_timeout_ms: u64,
 }
 
+// Holds until a configuration is known; every request is answered 503 then.
 impl Default for Limits {
     fn default() -> Self {
         Self {
--- a/lovageridge/src/gateway/directory/choose.rs
+++ b/lovageridge/src/gateway/directory/choose.rs
@@ -8,6 +8,10 @@
 const FAR_REQUESTS: f64 = 1.5;
 /// Factor on the load of a worker all of whose answers fail.
 const FAILURE_FACTOR: f64 = 24.0;
+/// Factor on the load of a worker that is avoided: it is chosen only when nobody else is left.
+const AVOIDED_FACTOR: f64 = 50.0;
+/// Difference in load that counts as a tie, so that instances do not all choose the same worker.
+const TIE_SHARE: f64 = 0.05;
 /// Base load, so that differences between idle workers stay small.
 const BASE_REQUESTS: f64 = 1.0;
 /// Bounds of the factor that a worker's answer time gives against the average.
@@ -76,7 +80,7 @@
     let (count, sum_ms) = times.fold((0.0, 0.0), |(n, sum), ms| (n + 1.0, sum + ms));
     let average_ms = if count > 0.0 { sum_ms / count } else { 0.0 };
     let scored = holding.into_iter().filter(untried).map(|worker| {
-        let cost = cost(worker, need.domain, average_ms, now_ms) * (1.0 + 0.05 * jitter());
+        let cost = cost(worker, need.domain, average_ms, now_ms) * (1.0 + TIE_SHARE * jitter());
         (worker, cost)
     });
     let best = scored.min_by(|(_, a), (_, b)| a.total_cmp(b));
@@ -90,6 +94,6 @@
         _ => 1.0,
     };
     let failures = 1.0 + FAILURE_FACTOR * worker.health.failure_share(now_ms);
-    let avoided = if worker.health.is_avoided(now_ms) { 50.0 } else { 1.0 };
+    let avoided = if worker.health.is_avoided(now_ms) { AVOIDED_FACTOR } else { 1.0 };
     (f64::from(worker.load_estimate(now_ms)) + BASE_REQUESTS + far) * slowness * failures * avoided
 }
--- a/lovageridge/src/gateway/directory/health.rs
+++ b/lovageridge/src/gateway/directory/health.rs
@@ -6,6 +6,8 @@
 const FORGET_HALF_MS: f64 = 3000.0;
 /// Shortest time for which a worker that cannot be reached is avoided, in ms.
 const AVOID_MIN_MS: u64 = 250;
+/// Doublings of that time for failures in a row, up to the longest.
+const AVOID_DOUBLINGS: u32 = 3;
 /// Longest such time, in ms.
 const AVOID_MAX_MS: u64 = 2000;
 
@@ -50,7 +52,7 @@
     pub fn on_unreachable(&mut self, now_ms: u64) {
         self.note(true, now_ms);
         self.unreachable_ms = Some(now_ms);
-        let wait_ms = AVOID_MIN_MS << self.unreachable_in_row.min(3);
+        let wait_ms = AVOID_MIN_MS << self.unreachable_in_row.min(AVOID_DOUBLINGS);
         self.unreachable_in_row += 1;
         self.avoid_until_ms = now_ms + wait_ms.min(AVOID_MAX_MS);
     }
--- a/lovageridge/src/gateway/fleet/duty.rs
+++ b/lovageridge/src/gateway/fleet/duty.rs
@@ -152,21 +152,25 @@
             let path = control::REPORT_PATH;
             let asked = link.call(Method::GET, path, headers, Bytes::new(), CALL_TIMEOUT).await;
             let report = match asked {
-                Ok(answer) if answer.status_code == 200 => control::parse_report(&answer.body).ok(),
-                _ => None,
+                Ok(answer) if answer.status_code == 200 => {
+                    control::parse_report(&answer.body).map_err(|error| error.to_string())
+                }
+                Ok(answer) => Err(format!("status {}", answer.status_code)),
+                Err(error) => Err(error.to_string()),
             };
-            if report.is_none() {
+            if let Err(reason) = &report {
                 let line = gateway.log.line(events::REPORT_MISSING, Weight::Notable);
-                line.text("worker", &worker).close();
+                line.text("worker", &worker).text("reason", reason).close();
             }
             let now_ms = gateway.now_ms();
-            with_site(&gateway, &worker, fence, |site| site.on_report(report, now_ms));
+            with_site(&gateway, &worker, fence, |site| site.on_report(report.ok(), now_ms));
         }
         Call::Order(order) => {
             // Checked again here, since the lead may have been lost since the decision.
             let now_ms = gateway.now_ms();
             let checks = gateway.settings().workers_check;
             let allowed = gateway.election.borrow().may_order(checks, now_ms);
+            let mut detail = String::new();
             let answer = if allowed {
                 let body = control::encode_order(&order, &gateway.settings().instance_id);
                 let path = control::ORDER_PATH;
@@ -174,18 +178,29 @@
                     link.call(Method::POST, path, headers, Bytes::from(body), CALL_TIMEOUT).await;
                 match asked {
                     Ok(answer) => control::order_answer(answer.status_code),
-                    Err(_) => OrderAnswer::Unknown,
+                    Err(error) => {
+                        detail = error.to_string();
+                        OrderAnswer::Unknown
+                    }
                 }
             } else {
+                detail = "not sent: the lead may no longer order".to_owned();
                 OrderAnswer::Conflict
             };
-            on_answer(&gateway, &worker, fence, &order, answer);
+            on_answer(&gateway, &worker, fence, &order, answer, &detail);
         }
     }
     gateway.fleet_due.notify_one();
 }
 
-fn on_answer(gateway: &Gateway, worker: &str, fence: u64, order: &Order, answer: OrderAnswer) {
+fn on_answer(
+    gateway: &Gateway,
+    worker: &str,
+    fence: u64,
+    order: &Order,
+    answer: OrderAnswer,
+    detail: &str,
+) {
     let answer_name = match answer {
         OrderAnswer::Accepted => "accepted",
         OrderAnswer::AlreadyHolds => "already_holds",
@@ -205,6 +220,7 @@
         .number("expected", order.expected)
         .number("fence", order.fence)
         .text("answer", answer_name)
+        .text("detail", detail)
         .close();
     if answer == OrderAnswer::Fenced {
         gateway.election.borrow_mut().on_superseded();
--- a/lovageridge/src/gateway/lead/duty.rs
+++ b/lovageridge/src/gateway/lead/duty.rs
@@ -53,23 +53,19 @@
     let call = link.call(Method::GET, &path, HeaderMap::new(), Bytes::new(), CALL_TIMEOUT);
     let answer = match call.await {
         Ok(answer) => answer,
-        Err(_) => return count(gateway, "claims", "no_answer"),
+        Err(error) => return failed(gateway, "claims", "no_answer", &error.to_string()),
     };
     let now_ms = gateway.now_ms();
     let mut election = gateway.election.borrow_mut();
     match answer.status_code {
         200 => match store::parse_tail(&answer.body, from_offset) {
             Ok(tail) => {
-                let decode = |bytes: &[u8]| postcard::from_bytes::<LeadRecord>(bytes).ok();
-                let records: Vec<(u64, LeadRecord)> = tail
-                    .records
-                    .iter()
-                    .filter_map(|(offset, bytes)| Some((*offset, decode(bytes)?)))
-                    .collect();
+                let decoded = tail.records.iter().filter_map(|row| decode(gateway, row));
+                let records: Vec<(u64, LeadRecord)> = decoded.collect();
                 election.on_read(tail.end_offset, &records, now_ms);
                 count(gateway, "claims", "ok");
             }
-            Err(_) => count(gateway, "claims", "malformed"),
+            Err(error) => failed(gateway, "claims", "malformed", &error.to_string()),
         },
         // The topic comes into being with its first record.
         404 => election.on_read(0, &[], now_ms),
@@ -78,9 +74,23 @@
                 election.on_expired(first);
                 count(gateway, "claims", "expired");
             }
-            Err(_) => count(gateway, "claims", "malformed"),
+            Err(error) => failed(gateway, "claims", "malformed", &error.to_string()),
         },
-        _ => count(gateway, "claims", "refused"),
+        status => failed(gateway, "claims", "refused", &format!("status {status}")),
+    }
+}
+
+fn decode(gateway: &Gateway, (offset, bytes): &(u64, Vec<u8>)) -> Option<(u64, LeadRecord)> {
+    match postcard::from_bytes(bytes) {
+        Ok(record) => Some((*offset, record)),
+        Err(error) => {
+            let line = gateway.log.line(events::RECORD_SKIPPED, Weight::Routine);
+            line.text("topic", store::LEAD_TOPIC)
+                .number("offset", *offset)
+                .text("reason", error)
+                .close();
+            None
+        }
     }
 }
 
@@ -93,22 +103,27 @@
     let now_ms = gateway.now_ms();
     let mut election = gateway.election.borrow_mut();
     match answer {
-        Ok(answer) if answer.status_code == 200 => {
-            match store::parse_appended(&answer.body) {
-                Ok((offset, _)) => election.on_appended(record, offset, started_ms, now_ms),
-                Err(_) => election.on_unknown(),
+        Ok(answer) if answer.status_code == 200 => match store::parse_appended(&answer.body) {
+            Ok((offset, _)) => {
+                election.on_appended(record, offset, started_ms, now_ms);
+                count(gateway, "claim", "ok");
             }
-            count(gateway, "claim", "ok");
-        }
+            Err(error) => {
+                election.on_unknown();
+                failed(gateway, "claim", "malformed", &error.to_string());
+            }
+        },
         Ok(answer) if answer.status_code == 412 => {
             election.on_condition_failed(now_ms);
             count(gateway, "claim", "condition");
         }
         // A refusal says that nothing was done.
-        Ok(_) => count(gateway, "claim", "refused"),
-        Err(_) => {
+        Ok(answer) => {
+            failed(gateway, "claim", "refused", &format!("status {}", answer.status_code));
+        }
+        Err(error) => {
             election.on_unknown();
-            count(gateway, "claim", "no_answer");
+            failed(gateway, "claim", "no_answer", &error.to_string());
         }
     }
 }
@@ -117,6 +132,12 @@
     gateway.metrics.store_calls_total.with_label_values(&[call, result]).inc();
 }
 
+fn failed(gateway: &Gateway, call: &str, result: &str, reason: &str) {
+    count(gateway, call, result);
+    let line = gateway.log.line(events::STORE_CALL_FAILED, Weight::Routine);
+    line.text("call", call).text("result", result).text("reason", reason).close();
+}
+
 /// Starts or ends the state of the model workers with the lead.
 fn note_lead(gateway: &Gateway) {
     let fence = gateway.election.borrow().fence();
--- a/lovageridge/src/gateway/link.rs
+++ b/lovageridge/src/gateway/link.rs
@@ -27,6 +27,8 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(3);
 /// Time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+/// Probes without an answer after which a connection ends.
+const KEEPALIVE_PROBES: u32 = 2;
 /// Largest answer of a call whose body is read as a whole, in bytes.
 const ANSWER_MAX_BYTES: usize = 8 << 20;
 
@@ -83,7 +85,7 @@
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE)
         .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(2);
+        .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
--- a/lovageridge/src/gateway/peers/duty.rs
+++ b/lovageridge/src/gateway/peers/duty.rs
@@ -19,6 +19,8 @@
 use crate::gateway::Gateway;
 use crate::gateway::LeadHeard;
 use crate::gateway::eventlog::Weight;
+use crate::gateway::link;
+use crate::gateway::link::Answer;
 use crate::gateway::link::Link;
 use crate::gateway::peers;
 use crate::gateway::peers::Content;
@@ -28,6 +30,7 @@
 use crate::gateway::peers::Residency;
 use crate::gateway::peers::Running;
 use crate::gateway::peers::Snapshot;
+use crate::gateway::serve::ACCEPT_PAUSE;
 use crate::gateway::sync;
 use crate::gateway::waits::Target;
 use crate::platform::store;
@@ -216,24 +219,49 @@
     let body = store::frame_keyed(&gateway.settings().instance_id, &value);
     let path = store::append_path(store::PEERS_TOPIC, None);
     let call = link.call(Method::POST, &path, HeaderMap::new(), Bytes::from(body), STORE_TIMEOUT);
-    let done = call.await.is_ok_and(|answer| answer.status_code == 200);
-    let result = if done { "ok" } else { "failed" };
-    gateway.metrics.store_calls_total.with_label_values(&["announce", result]).inc();
-    done
+    let done = body_of(call.await);
+    count(gateway, "announce", &done);
+    done.is_ok()
+}
+
+/// Returns the body of a successful answer, or why there is none.
+fn body_of(answer: Result<Answer, link::Error>) -> Result<Bytes, String> {
+    match answer {
+        Ok(answer) if answer.status_code == 200 => Ok(answer.body),
+        Ok(answer) => Err(format!("status {}", answer.status_code)),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+fn count<T>(gateway: &Gateway, call: &str, result: &Result<T, String>) {
+    let name = if result.is_ok() { "ok" } else { "failed" };
+    gateway.metrics.store_calls_total.with_label_values(&[call, name]).inc();
+    if let Err(reason) = result {
+        let line = gateway.log.line(events::STORE_CALL_FAILED, Weight::Routine);
+        line.text("call", call).text("result", name).text("reason", reason).close();
+    }
 }
 
 async fn read_announced(gateway: &Gateway, link: &mut Link) {
     let path = store::newest_path(store::PEERS_TOPIC, None);
     let call = link.call(Method::GET, &path, HeaderMap::new(), Bytes::new(), STORE_TIMEOUT);
-    let page = match call.await {
-        Ok(answer) if answer.status_code == 200 => store::parse_newest(&answer.body).ok(),
-        _ => None,
-    };
-    let result = if page.is_some() { "ok" } else { "failed" };
-    gateway.metrics.store_calls_total.with_label_values(&["peers", result]).inc();
+    let page = body_of(call.await)
+        .and_then(|body| store::parse_newest(&body).map_err(|error| error.to_string()));
+    count(gateway, "peers", &page);
+    let Ok(page) = page else { return };
     let mut addrs = Vec::new();
-    for record in page.map(|page| page.records).unwrap_or_default() {
-        let Ok(text) = postcard::from_bytes::<Announcement>(&record.value) else { continue };
+    for record in page.records {
+        let text: Announcement = match postcard::from_bytes(&record.value) {
+            Ok(text) => text,
+            Err(error) => {
+                let line = gateway.log.line(events::RECORD_SKIPPED, Weight::Routine);
+                line.text("topic", store::PEERS_TOPIC)
+                    .text("key", &record.key)
+                    .text("reason", error)
+                    .close();
+                continue;
+            }
+        };
         if record.key != gateway.settings().instance_id {
             let mut peers = gateway.peers.borrow_mut();
             peers.on_announced(&record.key, text.addr, text.incarnation, gateway.now_ms());
@@ -271,7 +299,17 @@
     let own = gateway.store.borrow().progress;
     let ahead = gateway.peers.borrow().ahead_of(own, now_ms).map(|(n, p)| (n.clone(), p.addr));
     let Some((name, addr)) = ahead else { return };
-    let Ok(Some(snapshot)) = timeout(SNAPSHOT_TIMEOUT, fetch_snapshot(addr)).await else { return };
+    let fetched = match timeout(SNAPSHOT_TIMEOUT, fetch_snapshot(addr)).await {
+        Ok(fetched) => fetched,
+        Err(_) => Err("timed out".to_owned()),
+    };
+    let snapshot = match fetched {
+        Ok(snapshot) => snapshot,
+        Err(reason) => {
+            let line = gateway.log.line(events::SNAPSHOT_FAILED, Weight::Routine);
+            return line.text("peer", name).text("reason", reason).close();
+        }
+    };
     let line = gateway.log.line(events::RECORDS_FROM_PEER, Weight::Notable);
     line.text("peer", name)
         .number("config_version", snapshot.progress.config_version)
@@ -280,19 +318,25 @@
     sync::apply_snapshot(gateway, &snapshot);
 }
 
-async fn fetch_snapshot(addr: SocketAddr) -> Option<Snapshot> {
-    let stream = TcpStream::connect(addr).await.ok()?;
+async fn fetch_snapshot(addr: SocketAddr) -> Result<Snapshot, String> {
+    let stream = TcpStream::connect(addr).await.map_err(|error| error.to_string())?;
     let mut bytes = Vec::new();
-    stream.take(SNAPSHOT_MAX_BYTES).read_to_end(&mut bytes).await.ok()?;
-    postcard::from_bytes(&bytes).ok()
+    let reading = stream.take(SNAPSHOT_MAX_BYTES).read_to_end(&mut bytes).await;
+    reading.map_err(|error| error.to_string())?;
+    postcard::from_bytes(&bytes).map_err(|error| error.to_string())
 }
 
 /// Hands snapshots to peers until the process ends.
 pub async fn run_snapshots(gateway: Rc<Gateway>, listener: TcpListener) {
     loop {
-        let Ok((mut stream, _)) = listener.accept().await else {
-            tokio::time::sleep(Duration::from_millis(DEMAND_GATHER_MS)).await;
-            continue;
+        let mut stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                let line = gateway.log.line(events::ACCEPT_FAILED, Weight::Notable);
+                line.text("port", "peers").text("detail", error).close();
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let bytes = postcard::to_stdvec(&sync::snapshot(&gateway)).unwrap_or_default();
         tokio::task::spawn_local(async move {
--- a/lovageridge/src/gateway/serve.rs
+++ b/lovageridge/src/gateway/serve.rs
@@ -50,7 +50,7 @@
 const HEAD_TIMED_OUT: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 /// Pause after a failed accept, for descriptors to come free.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Accepts callers' connections until the process ends.
 pub async fn run_callers(gateway: Rc<Gateway>, listener: TcpListener) {
@@ -61,14 +61,18 @@
                 tokio::task::spawn_local(serve_connection(gateway, stream));
             }
             Err(error) => {
-                let line = gateway.log.line(events::ACCEPT_FAILED, Weight::Notable);
-                line.text("detail", error).close();
+                note_accept_failed(&gateway, "callers", &error);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
 }
 
+fn note_accept_failed(gateway: &Gateway, port: &str, error: &std::io::Error) {
+    let line = gateway.log.line(events::ACCEPT_FAILED, Weight::Notable);
+    line.text("port", port).text("detail", error).close();
+}
+
 async fn serve_connection(gateway: Rc<Gateway>, stream: TcpStream) {
     if link::tune(&stream).is_err() {
         // The caller has closed the connection already.
@@ -265,11 +269,12 @@
 
 /// Answers the balancer's questions whether the instance is ready.
 pub async fn run_ready(gateway: Rc<Gateway>, listener: TcpListener) {
-    run_plain(listener, move |path: &str| {
+    let for_answers = Rc::clone(&gateway);
+    run_plain(&gateway, "ready", listener, move |path: &str| {
         if path != platform::READY_PATH {
             return (StatusCode::NOT_FOUND, Vec::new());
         }
-        let ready = gateway.is_ready();
+        let ready = for_answers.is_ready();
         (if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, Vec::new())
     })
     .await;
@@ -277,22 +282,30 @@
 
 /// Serves the metrics.
 pub async fn run_metrics(gateway: Rc<Gateway>, listener: TcpListener) {
-    run_plain(listener, move |_: &str| {
-        gateway.metrics.log_lines_dropped.set(gateway.log.dropped() as i64);
-        (StatusCode::OK, gateway.metrics.text())
+    let for_answers = Rc::clone(&gateway);
+    run_plain(&gateway, "metrics", listener, move |_: &str| {
+        let metrics = &for_answers.metrics;
+        metrics.log_lines_dropped.set(for_answers.log.dropped() as i64);
+        (StatusCode::OK, metrics.text())
     })
     .await;
 }
 
 async fn run_plain(
+    gateway: &Gateway,
+    port: &str,
     listener: TcpListener,
     answer: impl Fn(&str) -> (StatusCode, Vec<u8>) + 'static,
 ) {
     let answer = Rc::new(answer);
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                note_accept_failed(gateway, port, &error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let answer = Rc::clone(&answer);
         let service = service_fn(move |request: Request<Incoming>| {
--- a/lovageridge/src/gateway/settings.rs
+++ b/lovageridge/src/gateway/settings.rs
@@ -3,6 +3,19 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
+/// Wait of a new lead unless the settings name one, in ms; as in the platform's example.
+pub const DEFAULT_LEASE_MS: u64 = 3000;
+/// Time to stop unless the settings name one, in ms; as in the platform's example.
+pub const DEFAULT_GRACE_MS: u64 = 8000;
+/// Share of repeated sends unless the settings name one, in 1/1000; as in the platform's example.
+pub const DEFAULT_RETRY_PERMILLE: u64 = 200;
+/// Free repeated sends unless the settings name them: fewer than any deployment seen allows.
+pub const DEFAULT_RETRY_SLACK: u64 = 50;
+/// Window of repeated sends unless the settings name one, in ms; as in the platform's example.
+pub const DEFAULT_RETRY_WINDOW_MS: u64 = 10_000;
+/// Window of loads from the weight store unless the settings name one, in ms; as in the platform's example.
+pub const DEFAULT_LOAD_WINDOW_MS: u64 = 5000;
+
 /// Settings of one gateway instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct GatewaySettings {
@@ -89,12 +102,12 @@
             metrics_addr: any,
             store_addr: any,
             seeds: Vec::new(),
-            lease_ms: 3000,
-            grace_ms: 8000,
-            retry_permille: 200,
-            retry_slack: 50,
-            retry_window_ms: 10_000,
-            load_window_ms: 5000,
+            lease_ms: DEFAULT_LEASE_MS,
+            grace_ms: DEFAULT_GRACE_MS,
+            retry_permille: DEFAULT_RETRY_PERMILLE,
+            retry_slack: DEFAULT_RETRY_SLACK,
+            retry_window_ms: DEFAULT_RETRY_WINDOW_MS,
+            load_window_ms: DEFAULT_LOAD_WINDOW_MS,
             workers_check: false,
         };
         Self { settings }
@@ -117,6 +130,8 @@
         lease_ms: u64;
         /// Sets the time to stop in ms.
         grace_ms: u64;
+        /// Sets the share of repeated sends in 1/1000.
+        retry_permille: u64;
         /// Sets the free repeated sends in a window.
         retry_slack: u64;
         /// Sets the window of repeated sends in ms.
@@ -127,12 +142,6 @@
         workers_check: bool;
     }
 
-    /// Sets the share of repeated sends (0.2: one in five requests).
-    pub fn retry_ratio(mut self, ratio: f64) -> Self {
-        self.settings.retry_permille = (ratio * 1000.0) as u64;
-        self
-    }
-
     /// Returns the settings.
     pub fn build(self) -> GatewaySettings {
         self.settings
--- a/lovageridge/src/platform/headers.rs
+++ b/lovageridge/src/platform/headers.rs
@@ -12,8 +12,6 @@
 const ATTEMPT_ID: HeaderName = HeaderName::from_static("x-lovageridge-attempt-id");
 const DEADLINE: HeaderName = HeaderName::from_static("x-lovageridge-deadline-ms");
 const MODEL: HeaderName = HeaderName::from_static("x-lovageridge-model");
-const TOKENS: HeaderName = HeaderName::from_static("x-lovageridge-token-count");
-const PARTS: HeaderName = HeaderName::from_static("x-lovageridge-prompt-prefix");
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-lovageridge-expect-instance");
 const URGENCY: HeaderName = HeaderName::from_static("x-lovageridge-request-urgency");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
@@ -56,17 +54,11 @@
         },
         None => (None, None),
     };
-    let tokens: Vec<u64> = text(&TOKENS)
-        .map(|value| value.split(',').filter_map(|part| part.trim().parse().ok()).collect())
-        .unwrap_or_default();
     CallFields {
         id: text(&ATTEMPT_ID).map(str::to_owned),
         deadline_ms: text(&DEADLINE).and_then(|value| value.trim().parse().ok()),
         model,
         adapter,
-        prompt_tokens: tokens.first().copied().unwrap_or(0),
-        output_tokens: tokens.get(1).copied().unwrap_or(0),
-        shared_part: text(&PARTS).and_then(|value| value.split(':').next()).map(str::to_owned),
         last_event: text(&LAST_EVENT).map(str::to_owned),
     }
 }
--- a/lovageridge/src/platform/settings.rs
+++ b/lovageridge/src/platform/settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::str::FromStr;
 
+use crate::gateway::settings;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::settings::GatewaySettingsBuilder;
 use crate::platform::Error;
@@ -47,12 +48,16 @@
     .metrics_addr(SocketAddr::new(ip, peers_port + 1))
     .store_addr(required(&rows, "Platform.Address")?)
     .seeds(seeds)
-    .lease_ms(optional(&rows, "Bounds.LeaseMs", 3000)?)
-    .grace_ms(seconds_ms(&rows, "Bounds.GraceS", 8.0)?)
-    .retry_ratio(optional(&rows, "Bounds.RetryBudgetRatio", 0.2)?)
-    .retry_slack(optional(&rows, "Bounds.BudgetSlack", 50)?)
-    .retry_window_ms(seconds_ms(&rows, "Bounds.BudgetWindowS", 10.0)?)
-    .load_window_ms(seconds_ms(&rows, "Bounds.CeilingWindowS", 5.0)?)
+    .lease_ms(optional(&rows, "Bounds.LeaseMs", settings::DEFAULT_LEASE_MS)?)
+    .grace_ms(thousandths(&rows, "Bounds.GraceS", settings::DEFAULT_GRACE_MS)?)
+    .retry_permille(thousandths(
+        &rows,
+        "Bounds.RetryBudgetRatio",
+        settings::DEFAULT_RETRY_PERMILLE,
+    )?)
+    .retry_slack(optional(&rows, "Bounds.BudgetSlack", settings::DEFAULT_RETRY_SLACK)?)
+    .retry_window_ms(thousandths(&rows, "Bounds.BudgetWindowS", settings::DEFAULT_RETRY_WINDOW_MS)?)
+    .load_window_ms(thousandths(&rows, "Bounds.CeilingWindowS", settings::DEFAULT_LOAD_WINDOW_MS)?)
     .workers_check(optional(&rows, "Bounds.RequireFence", false)?);
     Ok(builder.build())
 }
@@ -70,7 +75,11 @@
     if rows.contains(key) { required(rows, key) } else { Ok(default) }
 }
 
-fn seconds_ms(rows: &Table<&str, &str>, key: &'static str, default_s: f64) -> Result<u64, Error> {
-    let value_s: f64 = optional(rows, key, default_s)?;
-    Ok((value_s * 1000.0) as u64)
+/// Returns a fraction in 1/1000, such as seconds in ms.
+fn thousandths(rows: &Table<&str, &str>, key: &'static str, default: u64) -> Result<u64, Error> {
+    if !rows.contains(key) {
+        return Ok(default);
+    }
+    let value: f64 = required(rows, key)?;
+    Ok((value * 1000.0) as u64)
 }
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -108,6 +108,10 @@
     WORKER_CHANGED = 716 "worker_changed";
     /// A worker is gone.
     WORKER_GONE = 717 "worker_gone";
+    /// A call to the store beside the reads of its records failed.
+    STORE_CALL_FAILED = 718 "store_call_failed";
+    /// Records could not be taken from another instance.
+    SNAPSHOT_FAILED = 719 "snapshot_failed";
     /// Another lead was heard.
     LEAD_HEARD = 720 "lead_heard";
     /// The instance leads the model workers.
