Let one instance of a failure domain read the store for all

Cause: every instance tailed both topics of the store itself, two to five calls a second each. Change: the first instance by name whose reads are fresh reads for its domain and sends what came as datagrams. The others read by themselves when a datagram was lost, when it is silent or cut from the store for 1.5 s, and after failed reads they rely on any other. While the store is away only the first of a domain asks four times a second, the others once. Followers tell the reader that they rely on it. Tests: in virtual time, 3 to 30 instances: calls, lost datagrams, the reader killed, cut or frozen at 150 phases, the return of the store.

--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -49,7 +49,7 @@
 use crate::gateway::peers::Peers;
 use crate::gateway::pool::Pool;
 use crate::gateway::settings::GatewaySettings;
-use crate::gateway::sync::StoreView;
+use crate::gateway::sync::view::StoreView;
 use crate::gateway::waits::Waits;
 use crate::hashing;
 use crate::sorted::Table;
@@ -80,6 +80,8 @@
     pub catalog: RefCell<Option<Rc<Catalog>>>,
     /// What has been read from the store.
     pub store: RefCell<StoreView>,
+    /// Told when another instance of the domain has read more of the store.
+    pub news_due: Notify,
     /// Workers.
     pub directory: RefCell<Directory>,
     /// Kept connections to upstreams.
@@ -139,6 +141,7 @@
             clock,
             catalog: RefCell::default(),
             store: RefCell::default(),
+            news_due: Notify::new(),
             directory: RefCell::default(),
             pool: RefCell::default(),
             changed: Notify::new(),
--- a/lovageridge/src/gateway/budget/tests.rs
+++ b/lovageridge/src/gateway/budget/tests.rs
@@ -59,6 +59,7 @@
             domain: "a".to_owned(),
             incarnation: 1,
             progress: Progress::default(),
+            read_age_ms: None,
             lead: None,
             content: Content::Beat { ask: false },
         };
--- a/lovageridge/src/gateway/metrics.rs
+++ b/lovageridge/src/gateway/metrics.rs
@@ -37,6 +37,8 @@
     pub datagrams_dropped_total: IntCounter,
     /// Bytes of datagrams sent to peers.
     pub datagram_bytes_total: IntCounter,
+    /// 1 while the instance reads the store's records by itself.
+    pub reads_store: IntGauge,
     /// Requests in progress.
     pub in_progress: IntGauge,
     /// Version of the configuration in force.
@@ -129,6 +131,10 @@
             in_progress: gauge("gateway_requests_in_progress", "Requests in progress")?,
             config_version: gauge("gateway_config_version", "Version in force")?,
             workers: gauge("gateway_workers", "Workers known")?,
+            reads_store: gauge(
+                "gateway_reads_store",
+                "1 while the instance reads the store's records by itself",
+            )?,
             leads: gauge("gateway_leads", "1 while the instance leads")?,
             log_lines_dropped: gauge("gateway_log_lines_dropped", "Log lines dropped")?,
             registry,
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -1,6 +1,6 @@
 //! Messages between gateway instances and the view of who is there.
 //!
-//! Datagrams carry beats, demand and residency; a snapshot of the store's records goes over TCP
+//! Datagrams carry beats, demand, residency and news of the store; a snapshot of the store's records goes over TCP
 //! to an instance that cannot reach the store.
 
 use std::net::SocketAddr;
@@ -9,6 +9,8 @@
 use serde::Serialize;
 
 use crate::gateway::directory::WorkerView;
+use crate::gateway::sync::view::StoreView;
+use crate::gateway::sync::view::Topic;
 use crate::sorted::Table;
 
 pub mod duty;
@@ -18,7 +20,12 @@
 
 /// Silence after which a peer no longer counts, in ms.
 const PEER_GONE_MS: u64 = 4000;
-
+/// Silence after which a peer gets no more news, in ms; those that rely on this instance are heard
+/// ten times as often.
+const KNOWN_MS: u64 = 30_000;
+/// Time for which reads of the store count as fresh, in ms; with a read of a follower less than the
+/// two seconds in which changes have to be in force.
+pub const READS_FRESH_MS: u64 = 1500;
 /// Silence of all other failure domains that counts as a cut, in ms: two beats and some.
 const OTHERS_SILENT_MS: u64 = 1200;
 /// Silence after which they are taken to be gone and not cut off, in ms.
@@ -38,8 +45,32 @@
     pub workers_end: u64,
 }
 
+impl Progress {
+    /// Returns the end of the records of `topic`.
+    pub fn end(&self, topic: Topic) -> u64 {
+        match topic {
+            Topic::Operator => self.operator_end,
+            Topic::Workers => self.workers_end,
+        }
+    }
+
+    /// Notes that the records of `topic` have been read up to `end`.
+    pub fn raise(&mut self, topic: Topic, end: u64) {
+        let known = match topic {
+            Topic::Operator => &mut self.operator_end,
+            Topic::Workers => &mut self.workers_end,
+        };
+        *known = (*known).max(end);
+    }
+
+    /// Tells whether `other` covers records that are missing here.
+    pub fn is_behind(&self, other: &Self) -> bool {
+        self.operator_end < other.operator_end || self.workers_end < other.workers_end
+    }
+}
+
 /// The lead as an instance knows it.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeadSeen {
     /// Fencing number of its claim.
     pub fence: u64,
@@ -113,6 +144,19 @@
     pub workers: Vec<WorkerView>,
 }
 
+/// Records that the sender has read from the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct News {
+    /// Topic.
+    pub topic: Topic,
+    /// Offset from which was read.
+    pub offset: u64,
+    /// Offset after the last record.
+    pub next_offset: u64,
+    /// Records with their offsets.
+    pub records: Vec<(u64, Vec<u8>)>,
+}
+
 /// Content of a datagram.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Content {
@@ -125,6 +169,8 @@
     Demand(Demand),
     /// What workers hold.
     Residency(Residency),
+    /// Records of the store.
+    News(News),
 }
 
 /// A datagram.
@@ -138,6 +184,8 @@
     pub incarnation: u64,
     /// What the sender has read from the store.
     pub progress: Progress,
+    /// Time since the sender's own reads of the store, in ms; `None` when it does not read.
+    pub read_age_ms: Option<u64>,
     /// The lead as the sender knows it.
     pub lead: Option<LeadSeen>,
     /// Content.
@@ -170,6 +218,8 @@
     pub heard_ms: Option<u64>,
     /// What it has read from the store.
     pub progress: Progress,
+    /// Time of its own reads of the store, in ms; `None` when it does not read.
+    pub read_ms: Option<u64>,
 }
 
 /// The other instances.
@@ -190,6 +240,7 @@
                 announced_ms: now_ms,
                 heard_ms: None,
                 progress: Progress::default(),
+                read_ms: None,
             };
             self.peers.insert(name.to_owned(), peer);
         }
@@ -208,10 +259,16 @@
             announced_ms: older.map_or(0, |peer| peer.announced_ms),
             heard_ms: Some(now_ms),
             progress: message.progress,
+            read_ms: message.read_age_ms.map(|age_ms| now_ms.saturating_sub(age_ms)),
         };
         self.peers.insert(message.from.clone(), peer);
     }
 
+    /// Returns the peer with this name.
+    pub fn get(&self, name: &str) -> Option<&Peer> {
+        self.peers.get(name)
+    }
+
     /// Returns all known peers.
     pub fn iter(&self) -> impl Iterator<Item = (&String, &Peer)> {
         self.peers.iter()
@@ -243,13 +300,47 @@
         })
     }
 
+    /// Returns the instance whose reads of the store an instance of `domain` relies on: the first
+    /// one by name with fresh reads that has read no less. An instance whose own reads fail relies
+    /// on any of them, others only on those before them, so that one of a domain is left to read.
+    pub fn reader(
+        &self,
+        domain: &str,
+        instance_id: &str,
+        own: &StoreView,
+        now_ms: u64,
+    ) -> Option<(&String, &Peer)> {
+        let any = own.fails_itself(now_ms);
+        self.peers.iter().find(|(name, peer)| {
+            peer.domain == domain
+                && (any || name.as_str() < instance_id)
+                && peer.read_ms.is_some_and(|read_ms| now_ms < read_ms + READS_FRESH_MS)
+                && !peer.progress.is_behind(&own.progress)
+        })
+    }
+
+    /// Tells whether no instance of `domain` that was heard lately comes before `instance_id`.
+    pub fn is_first(&self, domain: &str, instance_id: &str, now_ms: u64) -> bool {
+        self.near(domain, now_ms).all(|(name, _)| name.as_str() > instance_id)
+    }
+
+    /// Returns the peers of `domain` that may still be there.
+    pub fn near(&self, domain: &str, now_ms: u64) -> impl Iterator<Item = (&String, &Peer)> {
+        self.known(now_ms).filter(move |(_, peer)| peer.domain == domain)
+    }
+
+    /// Returns the peers that may still be there, though not heard lately: in a large deployment
+    /// two instances seldom hear each other.
+    pub fn known(&self, now_ms: u64) -> impl Iterator<Item = (&String, &Peer)> {
+        self.peers.iter().filter(move |(_, peer)| {
+            let known_ms = peer.heard_ms.unwrap_or(0).max(peer.announced_ms);
+            now_ms <= known_ms + KNOWN_MS
+        })
+    }
+
     /// Returns a living peer that has read more of the store than `own`.
     pub fn ahead_of(&self, own: Progress, now_ms: u64) -> Option<(&String, &Peer)> {
-        let is_ahead = |peer: &Peer| {
-            peer.progress.operator_end > own.operator_end
-                || peer.progress.workers_end > own.workers_end
-        };
-        let ahead = self.living(now_ms).filter(|(_, peer)| is_ahead(peer));
+        let ahead = self.living(now_ms).filter(|(_, peer)| own.is_behind(&peer.progress));
         ahead.max_by_key(|(_, peer)| (peer.progress.config_version, peer.progress.workers_end))
     }
 }
--- a/lovageridge/src/gateway/peers/duty.rs
+++ b/lovageridge/src/gateway/peers/duty.rs
@@ -27,6 +27,7 @@
 use crate::gateway::peers::Demand;
 use crate::gateway::peers::LeadSeen;
 use crate::gateway::peers::Message;
+use crate::gateway::peers::News;
 use crate::gateway::peers::Residency;
 use crate::gateway::peers::Running;
 use crate::gateway::peers::Snapshot;
@@ -54,6 +55,8 @@
 const DEMAND_GATHER_MS: u64 = 1;
 /// Largest datagram, in bytes.
 const DATAGRAM_MAX_BYTES: usize = 64 << 10;
+/// Most bytes of records in a datagram; with their offsets they fit into 64 KiB.
+const NEWS_MAX_BYTES: usize = 48 << 10;
 /// Silence after which a lead is no longer told to peers, in ms.
 const LEAD_TOLD_MS: u64 = 4000;
 
@@ -80,6 +83,7 @@
 /// Returns a message with what the instance knows.
 pub fn message(gateway: &Gateway, content: Content) -> Message {
     let now_ms = gateway.now_ms();
+    let store = gateway.store.borrow();
     let lead = gateway.lead.borrow();
     let lead = lead.as_ref().filter(|lead| now_ms <= lead.at_ms + LEAD_TOLD_MS);
     let seen = lead.map(|lead| LeadSeen { fence: lead.fence, age_ms: now_ms - lead.at_ms });
@@ -87,7 +91,8 @@
         from: gateway.settings().instance_id.clone(),
         domain: gateway.settings().domain.clone(),
         incarnation: gateway.incarnation,
-        progress: gateway.store.borrow().progress,
+        progress: store.progress,
+        read_age_ms: store.read_ms(now_ms).map(|read_ms| now_ms - read_ms),
         lead: seen,
         content,
     }
@@ -133,7 +138,9 @@
         Content::Residency(residency) => {
             on_residency(gateway, &message.from, message.incarnation, residency, from);
         }
+        Content::News(news) => sync::apply_news(gateway, &news),
     }
+    sync::on_peer_heard(gateway, now_ms);
 }
 
 /// Gives up the lead when another one has a higher fencing number.
@@ -283,10 +290,45 @@
     addrs.extend(peers.iter().map(|(_, peer)| peer.addr).choose(&mut rng));
     addrs.sort_unstable();
     addrs.dedup();
+    let mut store = gateway.store.borrow_mut();
+    let reader = store.take_registration(now_ms).and_then(|name| peers.get(name));
+    let reader_addr = reader.map(|peer| peer.addr).filter(|addr| !addrs.contains(addr));
+    drop(store);
     drop(peers);
     for addr in addrs {
         send(gateway, addr, Content::Beat { ask: true });
     }
+    if let Some(addr) = reader_addr {
+        send(gateway, addr, Content::Beat { ask: false });
+    }
+}
+
+/// Tells the other instances of the domain when and how far this one has read the store, unless
+/// they rely on another one.
+pub fn tell_reads(gateway: &Gateway) {
+    if gateway.store.borrow().reader.is_none() {
+        tell_near(gateway, Content::Beat { ask: false });
+    }
+}
+
+/// Tells the other instances of the domain what this one has read, unless they rely on another one.
+pub fn tell_news(gateway: &Gateway, news: News) {
+    let len: usize = news.records.iter().map(|(_, record)| record.len()).sum();
+    if len > NEWS_MAX_BYTES {
+        // Those who find themselves behind read from the store.
+        return tell_reads(gateway);
+    }
+    if gateway.store.borrow().reader.is_none() {
+        tell_near(gateway, Content::News(news));
+    }
+}
+
+fn tell_near(gateway: &Gateway, content: Content) {
+    let now_ms = gateway.now_ms();
+    let bytes = peers::encode(&message(gateway, content));
+    for (_, peer) in gateway.peers.borrow().near(&gateway.settings().domain, now_ms) {
+        send_bytes(gateway, peer.addr, &bytes);
+    }
 }
 
 /// Takes the store's records from a peer while the store cannot be reached.
--- a/lovageridge/src/gateway/peers/tests.rs
+++ b/lovageridge/src/gateway/peers/tests.rs
@@ -21,6 +21,7 @@
         domain: domain.to_owned(),
         incarnation,
         progress: Progress { config_version: 3, operator_end: 5, workers_end },
+        read_age_ms: None,
         lead: Some(LeadSeen { fence: 4, age_ms: 20 }),
         content: Content::Beat { ask: true },
     }
@@ -95,3 +96,13 @@
     assert_eq!(peers.sharing_count(121_500), 2);
     assert_eq!(peers.sharing_count(122_500), 1);
 }
+
+#[test]
+fn an_instance_that_was_not_heard_lately_still_gets_news() {
+    let mut peers = Peers::default();
+    peers.on_message(&beat("seldom", "a", 1, 1), addr(1), 1000);
+    peers.on_message(&beat("gone", "a", 1, 1), addr(2), 0);
+    let names = |now_ms: u64| peers.known(now_ms).map(|(name, _)| name.clone()).collect::<Vec<_>>();
+    assert_eq!(names(12_000), ["gone", "seldom"]);
+    assert_eq!(names(30_500), ["seldom"]);
+}
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -1,6 +1,7 @@
 //! Tails of the platform's store: the operator's configuration and the workers' records.
 //!
-//! An instance that cannot reach the store takes both from a peer that has read further.
+//! One instance of a failure domain reads them for all (see `view`). An instance that cannot reach
+//! the store and hears no such reader takes both from a peer that has read further.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,114 +9,39 @@
 use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
+use tokio::time::timeout;
 
 use crate::gateway::Gateway;
 use crate::gateway::directory::Change;
 use crate::gateway::eventlog::Weight;
 use crate::gateway::link::Link;
-use crate::gateway::peers::Progress;
+use crate::gateway::peers;
+use crate::gateway::peers::News;
+use crate::gateway::peers::Peer;
 use crate::gateway::peers::Snapshot;
+use crate::gateway::sync::view::TailStep;
+use crate::gateway::sync::view::Topic;
 use crate::platform;
 use crate::platform::store;
 use crate::platform::store::KeyedRecord;
-use crate::sorted::Table;
 use crate::telemetry::events;
 
+pub mod view;
+
 #[cfg(test)]
 mod tests;
 
-/// Time for which a read waits for a record, in ms.
-const READ_WAIT_MS: u64 = 1500;
 /// Time for an answer beyond what it waits for; a slow store takes a quarter of a second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
-/// Shortest time between reads of the configuration, in ms.
-const CONFIG_GAP_MS: u64 = 150;
-/// Shortest time between reads of the workers' records, in ms; half of the time in which a leaving
-/// worker must get no new work, less a read.
-const WORKERS_GAP_MS: u64 = 700;
 /// Time from the first read after the store's return to the next one, in ms: half of the time in
 /// which a configuration has to be in force, so that all instances together do not overrun the store.
 const RETURN_GAP_MS: u64 = 1000;
 /// Pause after a failed read, in ms.
 const RETRY_MS: u64 = 250;
-/// Time after the store's return in which removals may be of living workers, in ms.
-const BESIDE_OUTAGE_MS: u64 = 1000;
-/// Time after the store's return until which the records of living workers are back, in ms: two
-/// seconds and a read.
-const LAPSED_BACK_MS: u64 = 2300;
-/// Failures to read that last this long count as an outage, in ms.
-const OUTAGE_MIN_MS: u64 = 800;
-
-/// What has been read from the store.
-#[derive(Clone, Debug, Default)]
-pub struct StoreView {
-    /// How far it has been read.
-    pub progress: Progress,
-    /// The configuration as it lies there.
-    pub config: Vec<u8>,
-    /// The workers' records as they lie there.
-    pub workers: Table<String, Vec<u8>>,
-    failing_since_ms: Option<u64>,
-    last_ok_ms: Option<u64>,
-    recovered_ms: Option<u64>,
-}
-
-impl StoreView {
-    /// Notes an answer of the store; tells whether it had been away.
-    pub fn on_answer(&mut self, now_ms: u64) -> bool {
-        let was_away =
-            self.failing_since_ms.take().is_some_and(|since| now_ms >= since + OUTAGE_MIN_MS);
-        if was_away {
-            self.recovered_ms = Some(now_ms);
-        }
-        self.last_ok_ms = Some(now_ms);
-        was_away
-    }
-
-    /// Notes a call without answer; tells whether it is the first.
-    pub fn on_failure(&mut self, now_ms: u64) -> bool {
-        let first = self.failing_since_ms.is_none();
-        // The last answer dates the begin, since the failed call may have waited for long.
-        let since_ms = self.last_ok_ms.unwrap_or(now_ms);
-        self.failing_since_ms.get_or_insert(since_ms);
-        first
-    }
-
-    /// Tells whether the store cannot be reached from here.
-    pub fn is_away(&self) -> bool {
-        self.failing_since_ms.is_some()
-    }
-
-    /// Returns until when a worker stays in use whose record is found removed now; `None` when the
-    /// removal is no matter of an outage.
-    pub fn keep_removed_until_ms(&self, now_ms: u64) -> Option<u64> {
-        let recovered_ms = self.recovered_ms?;
-        (now_ms <= recovered_ms + BESIDE_OUTAGE_MS).then_some(recovered_ms + LAPSED_BACK_MS)
-    }
-}
-
-/// A topic of newest records.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Topic {
-    Operator,
-    Workers,
-}
-
-impl Topic {
-    fn name(self) -> &'static str {
-        match self {
-            Self::Operator => store::OPERATOR_TOPIC,
-            Self::Workers => store::WORKERS_TOPIC,
-        }
-    }
-
-    fn gap_ms(self) -> u64 {
-        match self {
-            Self::Operator => CONFIG_GAP_MS,
-            Self::Workers => WORKERS_GAP_MS,
-        }
-    }
-}
+/// Failed reads in a row after which only the first instance of a domain keeps to that pause.
+const QUICK_RETRIES: u32 = 2;
+/// Pause of the others, in ms; the first one tells them of the store's return.
+const RETRY_OTHERS_MS: u64 = 1000;
 
 /// Tails the operator's records until the process ends.
 pub async fn run_operator(gateway: Rc<Gateway>) {
@@ -129,18 +55,25 @@
 
 async fn run_tail(gateway: &Gateway, topic: Topic) {
     let mut link = Link::new(gateway.settings().store_addr);
-    let mut next_offset: Option<u64> = None;
     loop {
         let started_ms = gateway.now_ms();
         link.set_addr(gateway.settings().store_addr);
         let returns = gateway.store.borrow().is_away();
-        let result = match next_offset {
-            None => read_newest(gateway, &mut link, topic).await,
-            Some(offset) => read_on(gateway, &mut link, topic, offset).await,
+        let result = match next_step(gateway, topic, started_ms) {
+            TailStep::Follow { until_ms } => {
+                let waiting = gateway.news_due.notified();
+                let time_ms = until_ms.saturating_sub(started_ms);
+                // The end of the wait and news both lead to another look.
+                let _ = timeout(Duration::from_millis(time_ms), waiting).await;
+                continue;
+            }
+            TailStep::ReadNewest => read_newest(gateway, &mut link, topic).await,
+            TailStep::ReadOn { offset, wait_ms } => {
+                read_on(gateway, &mut link, topic, offset, wait_ms).await
+            }
         };
         match result {
-            Ok(offset) => {
-                next_offset = offset;
+            Ok(()) => {
                 let passed_ms = gateway.now_ms() - started_ms;
                 let gap_ms = if returns { RETURN_GAP_MS } else { topic.gap_ms() };
                 pause(gap_ms.saturating_sub(passed_ms)).await;
@@ -148,22 +81,41 @@
             Err(reason) => {
                 note_failure(gateway, topic, &reason);
                 link.close_kept();
-                pause(RETRY_MS).await;
+                pause(retry_ms(gateway)).await;
             }
         }
     }
 }
 
+fn next_step(gateway: &Gateway, topic: Topic, now_ms: u64) -> TailStep {
+    let peers = gateway.peers.borrow();
+    let mut store = gateway.store.borrow_mut();
+    let settings = gateway.settings();
+    let reader = peers.reader(&settings.domain, &settings.instance_id, &store, now_ms);
+    let name = reader.map(|(name, _)| name.as_str());
+    if store.set_reader(name) {
+        let line = gateway.log.line(events::READER_CHANGED, Weight::Notable);
+        line.text("reader", name.unwrap_or(&settings.instance_id)).close();
+        gateway.metrics.reads_store.set(i64::from(name.is_none()));
+    }
+    let is_shared = peers.near(&settings.domain, now_ms).next().is_some();
+    store.step(topic, reader.map(|(_, peer)| peer), is_shared, now_ms)
+}
+
+fn retry_ms(gateway: &Gateway) -> u64 {
+    let settings = gateway.settings();
+    let peers = gateway.peers.borrow();
+    let is_first = peers.is_first(&settings.domain, &settings.instance_id, gateway.now_ms());
+    let is_outage = gateway.store.borrow().failures_in_row() > QUICK_RETRIES;
+    if is_outage && !is_first { RETRY_OTHERS_MS } else { RETRY_MS }
+}
+
 async fn pause(time_ms: u64) {
     tokio::time::sleep(Duration::from_millis(time_ms)).await;
 }
 
-/// Reads the newest record of each key; returns the offset to go on from.
-async fn read_newest(
-    gateway: &Gateway,
-    link: &mut Link,
-    topic: Topic,
-) -> Result<Option<u64>, String> {
+/// Reads the newest record of each key.
+async fn read_newest(gateway: &Gateway, link: &mut Link, topic: Topic) -> Result<(), String> {
     let mut after: Option<String> = None;
     let mut records: Vec<KeyedRecord> = Vec::new();
     let mut end_offset = None;
@@ -186,12 +138,12 @@
     if topic == Topic::Workers {
         drop_missing(gateway, &records);
     }
-    let end = end_offset.unwrap_or(0);
     for record in records {
         apply(gateway, topic, record);
     }
-    advance(gateway, topic, end);
-    Ok(Some(end))
+    gateway.store.borrow_mut().advance(topic, end_offset.unwrap_or(0));
+    peers::duty::tell_reads(gateway);
+    Ok(())
 }
 
 /// Removes the workers that have no record any more.
@@ -207,34 +159,68 @@
     }
 }
 
-/// Reads on from `offset`; returns the offset to go on from, `None` when records have expired.
+/// Reads on from `offset` and tells the other instances of the domain what came.
 async fn read_on(
     gateway: &Gateway,
     link: &mut Link,
     topic: Topic,
     offset: u64,
-) -> Result<Option<u64>, String> {
-    // While the store is away no read waits, so that its return is noticed within a second.
-    let wait_ms = if gateway.store.borrow().is_away() { 0 } else { READ_WAIT_MS };
+    wait_ms: u64,
+) -> Result<(), String> {
     let path = store::read_path(topic.name(), offset, wait_ms);
     let limit = Duration::from_millis(wait_ms) + CALL_TIMEOUT;
     let body = match get(gateway, link, "read", &path, limit).await? {
         (200, body) => body,
-        (410 | 404, _) => return Ok(None),
+        (410 | 404, _) => {
+            gateway.store.borrow_mut().on_expired(topic);
+            return Ok(());
+        }
         (status, _) => return Err(format!("status {status}")),
     };
     let tail = store::parse_tail(&body, offset).map_err(|error| error.to_string())?;
     note_answer(gateway, topic);
-    let mut next = offset;
-    for (at, record) in &tail.records {
-        next = at + 1;
+    if tail.records.is_empty() {
+        peers::duty::tell_reads(gateway);
+        return Ok(());
+    }
+    let next_offset = tail.records.last().map_or(offset, |(at, _)| at + 1);
+    apply_tail(gateway, topic, offset, &tail.records);
+    gateway.store.borrow_mut().advance(topic, next_offset);
+    peers::duty::tell_news(gateway, News { topic, offset, next_offset, records: tail.records });
+    Ok(())
+}
+
+/// Applies the records of `topic` from `offset` on.
+fn apply_tail(gateway: &Gateway, topic: Topic, offset: u64, records: &[(u64, Vec<u8>)]) {
+    for (at, record) in records.iter().filter(|(at, _)| *at >= offset) {
         match store::parse_keyed(*at, record) {
             Ok(record) => apply(gateway, topic, record),
             Err(error) => note_bad_record(gateway, topic, "", &error),
         }
     }
-    advance(gateway, topic, next);
-    Ok(Some(next))
+}
+
+/// Takes over what another instance of the domain has read, unless records before it are missing.
+pub fn apply_news(gateway: &Gateway, news: &News) {
+    let own = gateway.store.borrow().next_offset(news.topic);
+    let Some(own) = own.filter(|own| (news.offset..news.next_offset).contains(own)) else { return };
+    apply_tail(gateway, news.topic, own, &news.records);
+    gateway.store.borrow_mut().advance(news.topic, news.next_offset);
+}
+
+/// Takes over how far and when the instance that this one relies on has read.
+pub fn on_peer_heard(gateway: &Gateway, now_ms: u64) {
+    let peers = gateway.peers.borrow();
+    let mut store = gateway.store.borrow_mut();
+    let settings = gateway.settings();
+    let reader = peers.reader(&settings.domain, &settings.instance_id, &store, now_ms);
+    let Some((_, Peer { read_ms: Some(read_ms), progress, .. })) = reader else { return };
+    if store.on_read_elsewhere(*read_ms, now_ms) {
+        gateway.log.line(events::STORE_REACHABLE, Weight::Notable).text("topic", "").close();
+    }
+    if store.progress.is_behind(progress) {
+        gateway.news_due.notify_waiters();
+    }
 }
 
 async fn get(
@@ -256,7 +242,7 @@
 }
 
 fn note_answer(gateway: &Gateway, topic: Topic) {
-    if gateway.store.borrow_mut().on_answer(gateway.now_ms()) {
+    if gateway.store.borrow_mut().on_answer(topic, gateway.now_ms()) {
         let line = gateway.log.line(events::STORE_REACHABLE, Weight::Notable);
         line.text("topic", topic.name()).close();
     }
@@ -275,15 +261,6 @@
     line.text("topic", topic.name()).text("key", key).text("reason", error).close();
 }
 
-fn advance(gateway: &Gateway, topic: Topic, end: u64) {
-    let mut store = gateway.store.borrow_mut();
-    let known = match topic {
-        Topic::Operator => &mut store.progress.operator_end,
-        Topic::Workers => &mut store.progress.workers_end,
-    };
-    *known = (*known).max(end);
-}
-
 fn apply(gateway: &Gateway, topic: Topic, record: KeyedRecord) {
     match topic {
         Topic::Operator if record.key == store::CONFIG_KEY => apply_config(gateway, &record.value),
@@ -398,6 +375,7 @@
         }
     }
     let mut store = gateway.store.borrow_mut();
-    store.progress.operator_end = store.progress.operator_end.max(snapshot.progress.operator_end);
-    store.progress.workers_end = store.progress.workers_end.max(snapshot.progress.workers_end);
+    for topic in [Topic::Operator, Topic::Workers] {
+        store.progress.raise(topic, snapshot.progress.end(topic));
+    }
 }
--- a/lovageridge/src/gateway/sync/tests.rs
+++ b/lovageridge/src/gateway/sync/tests.rs
@@ -1,33 +1,373 @@
-//! Tests of what an outage of the store means for removed records.
+//! Tests of what an outage of the store means for removed records, and of one instance that reads
+//! the store for all of its failure domain, in virtual time.
 
-use crate::gateway::sync::StoreView;
+use std::net::SocketAddr;
 
-/// Time in which a leaving worker must get no new work, counted for instances that have been in
-/// touch with the store for three seconds, in ms.
-const DRAIN_MS: u64 = 2000;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use test_case::test_case;
+
+use crate::gateway::peers::Content;
+use crate::gateway::peers::Message;
+use crate::gateway::peers::Peers;
+use crate::gateway::sync::CALL_TIMEOUT;
+use crate::gateway::sync::QUICK_RETRIES;
+use crate::gateway::sync::RETRY_MS;
+use crate::gateway::sync::RETRY_OTHERS_MS;
+use crate::gateway::sync::view::StoreView;
+use crate::gateway::sync::view::TailStep;
+use crate::gateway::sync::view::Topic;
+
+/// Time in which a leaving worker must get no new work and a configuration has to be in force,
+/// counted for instances that have been in touch with the store for three seconds, in ms.
+const IN_FORCE_MS: u64 = 2000;
 const IN_TOUCH_AFTER_MS: u64 = 3000;
+/// Calls a second to the store of an instance that reads both topics for its domain: one of each in
+/// the shortest time between reads of the workers' records.
+const READER_CALLS_PER_S: f64 = 2.0 / 0.7;
+/// Step of the virtual time, in ms.
+const TICK_MS: u64 = 10;
+/// Time between beats, in ms, and how many instances get each.
+const BEAT_MS: u64 = 500;
+const BEAT_PEERS: usize = 3;
+const TOPICS: [Topic; 2] = [Topic::Operator, Topic::Workers];
 
 #[test]
 fn a_removal_without_an_outage_holds_at_once() {
     let mut view = StoreView::default();
-    assert!(!view.on_answer(1000));
+    assert!(!view.on_answer(Topic::Workers, 1000));
     assert_eq!(view.keep_removed_until_ms(1100), None);
     // A single failed call is no outage.
     view.on_failure(1300);
-    assert!(!view.on_answer(1500));
+    assert!(!view.on_answer(Topic::Workers, 1500));
     assert_eq!(view.keep_removed_until_ms(1500), None);
 }
 
 #[test]
 fn a_worker_that_leaves_soon_after_an_outage_gets_no_work_for_longer_than_allowed() {
     let mut view = StoreView::default();
-    view.on_answer(1000);
+    view.on_answer(Topic::Workers, 1000);
     view.on_failure(3000);
-    assert!(view.on_answer(10_000));
+    assert!(view.on_answer(Topic::Workers, 10_000));
     for removed_ms in 10_000..14_000 {
         let used_until_ms = view.keep_removed_until_ms(removed_ms).unwrap_or(removed_ms);
-        let bound_ms = (removed_ms + DRAIN_MS).max(10_000 + IN_TOUCH_AFTER_MS);
+        let bound_ms = (removed_ms + IN_FORCE_MS).max(10_000 + IN_TOUCH_AFTER_MS);
         assert!(used_until_ms <= bound_ms, "removed at {removed_ms}: used until {used_until_ms}");
     }
     assert!(view.keep_removed_until_ms(10_000).is_some_and(|until_ms| until_ms >= 12_000));
 }
+
+#[test]
+fn the_return_of_the_store_is_known_from_another_instance() {
+    let mut view = StoreView::default();
+    view.on_answer(Topic::Workers, 1000);
+    view.on_failure(3000);
+    assert!(!view.on_read_elsewhere(2900, 3100), "that read was before the failure");
+    assert!(view.is_away());
+    assert!(view.on_read_elsewhere(9000, 9010));
+    assert!(!view.is_away());
+    assert!(view.keep_removed_until_ms(9010).is_some());
+}
+
+fn nowhere() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+struct Reading {
+    offset: Option<u64>,
+    started_ms: u64,
+    wait_ms: u64,
+}
+
+struct Node {
+    name: String,
+    view: StoreView,
+    peers: Peers,
+    reading: [Option<Reading>; 2],
+    next_ms: [u64; 2],
+    runs: bool,
+    reaches_store: bool,
+}
+
+/// Instances of one failure domain between a store and a network that may lose datagrams.
+struct Domain {
+    nodes: Vec<Node>,
+    ends: [u64; 2],
+    now_ms: u64,
+    calls: u64,
+    lost_share: f64,
+    beat_share: f64,
+    rng: StdRng,
+}
+
+impl Domain {
+    fn new(count: usize, seed: u64) -> Self {
+        let node = |at: usize| Node {
+            name: format!("n{at:02}"),
+            view: StoreView::default(),
+            peers: Peers::default(),
+            reading: [None, None],
+            next_ms: [at as u64 * 7, at as u64 * 11],
+            runs: true,
+            reaches_store: true,
+        };
+        Self {
+            nodes: (0..count).map(node).collect(),
+            ends: [5, 40],
+            now_ms: 0,
+            calls: 0,
+            lost_share: 0.0,
+            beat_share: 1.0,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    fn run_until(&mut self, until_ms: u64) {
+        while self.now_ms < until_ms {
+            self.now_ms += TICK_MS;
+            if self.now_ms.is_multiple_of(BEAT_MS) {
+                self.beat();
+            }
+            for at in 0..self.nodes.len() {
+                if self.nodes[at].runs {
+                    TOPICS.iter().enumerate().for_each(|(row, topic)| self.act(at, row, *topic));
+                }
+            }
+        }
+    }
+
+    /// Sends a beat of each instance to a few others, and to the one it relies on when that is due.
+    fn beat(&mut self) {
+        for from in (0..self.nodes.len()).filter(|from| self.nodes[*from].runs).collect::<Vec<_>>()
+        {
+            let reader = self.nodes[from].view.take_registration(self.now_ms).map(str::to_owned);
+            let reader = self.nodes.iter().position(|node| Some(&node.name) == reader.as_ref());
+            let count = if self.rng.random_bool(self.beat_share) { BEAT_PEERS } else { 0 };
+            let random = (0..count).map(|_| self.rng.random_range(0..self.nodes.len()));
+            let to: Vec<usize> = random.chain(reader).collect();
+            let message = self.message(from);
+            for to in to.into_iter().filter(|to| *to != from) {
+                if self.nodes[to].runs {
+                    self.nodes[to].peers.on_message(&message, nowhere(), self.now_ms);
+                }
+            }
+        }
+    }
+
+    /// Lets all instances hear each other, as they do at their start.
+    fn meet(&mut self) {
+        for from in 0..self.nodes.len() {
+            let message = self.message(from);
+            for to in (0..self.nodes.len()).filter(|to| *to != from) {
+                self.nodes[to].peers.on_message(&message, nowhere(), self.now_ms);
+            }
+        }
+    }
+
+    fn message(&self, from: usize) -> Message {
+        let node = &self.nodes[from];
+        let read_ms = node.view.read_ms(self.now_ms);
+        Message {
+            from: node.name.clone(),
+            domain: "a".to_owned(),
+            incarnation: 1,
+            progress: node.view.progress,
+            read_age_ms: read_ms.map(|read_ms| self.now_ms - read_ms),
+            lead: None,
+            content: Content::Beat { ask: false },
+        }
+    }
+
+    fn act(&mut self, at: usize, row: usize, topic: Topic) {
+        let now_ms = self.now_ms;
+        let end = self.ends[row];
+        let node = &mut self.nodes[at];
+        if let Some(reading) = &node.reading[row] {
+            let has_news = reading.offset.is_none_or(|offset| offset < end);
+            let waited_ms = now_ms - reading.started_ms;
+            if node.reaches_store && (has_news || waited_ms >= reading.wait_ms) {
+                let gap_ms = topic.gap_ms();
+                node.next_ms[row] = (reading.started_ms + gap_ms).max(now_ms);
+                let from = reading.offset;
+                node.reading[row] = None;
+                node.view.on_answer(topic, now_ms);
+                node.view.advance(topic, end);
+                self.tell(at, from.filter(|offset| *offset < end).map(|from| (topic, from, end)));
+            } else if waited_ms >= reading.wait_ms + CALL_TIMEOUT.as_millis() as u64 {
+                node.reading[row] = None;
+                node.view.on_failure(now_ms);
+                let is_first = node.peers.is_first("a", &node.name, now_ms);
+                let quick = is_first || node.view.failures_in_row() <= QUICK_RETRIES;
+                node.next_ms[row] = now_ms + if quick { RETRY_MS } else { RETRY_OTHERS_MS };
+            }
+        } else if now_ms >= node.next_ms[row] {
+            let reader = node.peers.reader("a", &node.name, &node.view, now_ms);
+            node.view.set_reader(reader.map(|(name, _)| name.as_str()));
+            let shared = node.peers.near("a", now_ms).next().is_some();
+            let step = node.view.step(topic, reader.map(|(_, peer)| peer), shared, now_ms);
+            let (offset, wait_ms) = match step {
+                TailStep::Follow { .. } => return,
+                TailStep::ReadNewest => (None, 0),
+                TailStep::ReadOn { offset, wait_ms } => (Some(offset), wait_ms),
+            };
+            self.calls += 1;
+            node.reading[row] = Some(Reading { offset, started_ms: now_ms, wait_ms });
+        }
+    }
+
+    fn tell(&mut self, from: usize, news: Option<(Topic, u64, u64)>) {
+        let now_ms = self.now_ms;
+        let node = &self.nodes[from];
+        if node.view.reader.is_some() {
+            return;
+        }
+        let message = self.message(from);
+        let near: Vec<String> =
+            node.peers.near("a", now_ms).map(|(name, _)| name.clone()).collect();
+        for to in (0..self.nodes.len()).filter(|to| *to != from) {
+            if !near.contains(&self.nodes[to].name) {
+                continue;
+            }
+            if self.rng.random_bool(self.lost_share) || !self.nodes[to].runs {
+                continue;
+            }
+            let node = &mut self.nodes[to];
+            node.peers.on_message(&message, nowhere(), now_ms);
+            if let Some((topic, offset, next)) = news
+                && node.view.next_offset(topic).is_some_and(|own| (offset..next).contains(&own))
+            {
+                node.view.advance(topic, next);
+            }
+            let reader = node.peers.reader("a", &node.name, &node.view, now_ms);
+            if let Some(read_ms) = reader.and_then(|(_, peer)| peer.read_ms) {
+                node.view.on_read_elsewhere(read_ms, now_ms);
+            }
+        }
+    }
+
+    /// Appends a record to both topics and asserts that all who run and reach the store know it in
+    /// time.
+    fn assert_change_is_known_in_time(&mut self, what: &str) {
+        let changed_ms = self.now_ms;
+        self.ends = self.ends.map(|end| end + 1);
+        self.run_until(changed_ms + IN_FORCE_MS);
+        for node in self.nodes.iter().filter(|node| node.runs && node.reaches_store) {
+            let known = [node.view.progress.operator_end, node.view.progress.workers_end];
+            assert_eq!(known, self.ends, "{what}: {} at {} ms", node.name, self.now_ms);
+        }
+    }
+}
+
+/// Pattern: many idle instances in one failure domain. Their calls to the store must not grow with
+/// their number.
+#[test_case(3)]
+#[test_case(30)]
+fn one_instance_reads_for_all_of_its_domain(count: usize) {
+    let mut domain = Domain::new(count, 1);
+    domain.run_until(5000);
+    let before = domain.calls;
+    domain.run_until(35_000);
+    let calls = domain.calls - before;
+    // One call of each topic may begin at either end of the time.
+    let most = (READER_CALLS_PER_S * 30.0) as u64 + 2;
+    assert!(calls <= most, "{calls} calls of {count} instances, {most} allowed");
+    domain.assert_change_is_known_in_time("idle");
+}
+
+/// Pattern: a failure domain of 30 instances in a deployment of 90, where two instances seldom hear
+/// each other by chance, and records that change all the time.
+#[test]
+fn an_instance_that_reads_for_others_knows_them_all() {
+    let mut domain = Domain::new(30, 5);
+    domain.beat_share = 0.02;
+    domain.meet();
+    domain.run_until(40_000);
+    let before = domain.calls;
+    for _ in 0..60 {
+        domain.ends = domain.ends.map(|end| end + 1);
+        domain.run_until(domain.now_ms + 1000);
+    }
+    let calls = domain.calls - before;
+    // A change ends a read of the configuration early.
+    let most = (60.0 * (READER_CALLS_PER_S + 1.0)) as u64 + 2;
+    assert!(calls <= most, "{calls} calls, {most} allowed");
+}
+
+/// Pattern: workers' records change all the time, and a share of the datagrams is lost.
+#[test_case(0.05)]
+#[test_case(0.3)]
+fn lost_news_are_read_from_the_store(lost_share: f64) {
+    let mut domain = Domain::new(8, 2);
+    domain.run_until(5000);
+    domain.lost_share = lost_share;
+    for round in 0..20 {
+        domain.assert_change_is_known_in_time(&format!("round {round}"));
+    }
+}
+
+/// What happens to the instance that reads.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    Killed,
+    CutFromStore,
+    Frozen,
+}
+
+/// Pattern: the reader fails just before a change, at any moment of its reads.
+#[test_case(Fault::Killed; "killed")]
+#[test_case(Fault::CutFromStore; "cut from the store")]
+#[test_case(Fault::Frozen; "frozen and thawed")]
+fn a_change_is_known_in_time_without_the_reader(fault: Fault) {
+    for phase in 0..150 {
+        let mut domain = Domain::new(5, phase);
+        domain.run_until(6000 + phase * TICK_MS);
+        match fault {
+            Fault::Killed | Fault::Frozen => domain.nodes[0].runs = false,
+            Fault::CutFromStore => domain.nodes[0].reaches_store = false,
+        }
+        domain.assert_change_is_known_in_time("at the fault");
+        let outage_ms = domain.now_ms + phase * TICK_MS;
+        domain.run_until(outage_ms);
+        if fault == Fault::Frozen {
+            domain.nodes[0].runs = true;
+            // A thawed process is in touch only after a while; the others are all along.
+            domain.nodes[0].reaches_store = false;
+            domain.assert_change_is_known_in_time("after the thaw");
+        }
+        let turned_away = domain.nodes[0].runs;
+        domain.nodes[0].reaches_store = true;
+        domain.run_until(domain.now_ms + IN_TOUCH_AFTER_MS);
+        domain.assert_change_is_known_in_time(if turned_away { "after it" } else { "without it" });
+    }
+}
+
+/// Pattern: the store serves all but one instance; that one learns changes from the others.
+#[test]
+fn an_instance_that_the_store_turns_away_follows_any_other() {
+    let mut domain = Domain::new(5, 3);
+    domain.run_until(6000);
+    domain.nodes[0].reaches_store = false;
+    domain.run_until(12_000);
+    for _ in 0..5 {
+        domain.ends = domain.ends.map(|end| end + 1);
+        domain.run_until(domain.now_ms + IN_FORCE_MS);
+        let progress = domain.nodes[0].view.progress;
+        assert_eq!([progress.operator_end, progress.workers_end], domain.ends);
+    }
+}
+
+/// Pattern: the store is away for all; its return must be noticed by all within the time after
+/// which they count as in touch.
+#[test]
+fn the_return_of_the_store_is_noticed_by_all() {
+    let mut domain = Domain::new(30, 4);
+    domain.run_until(6000);
+    domain.nodes.iter_mut().for_each(|node| node.reaches_store = false);
+    domain.run_until(16_000);
+    domain.ends = domain.ends.map(|end| end + 1);
+    domain.nodes.iter_mut().for_each(|node| node.reaches_store = true);
+    domain.run_until(16_000 + IN_TOUCH_AFTER_MS);
+    assert!(domain.nodes.iter().all(|node| !node.view.is_away()));
+    assert!(domain.nodes.iter().all(|node| node.view.progress.workers_end == domain.ends[1]));
+}
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -124,4 +124,6 @@
     REPORT_MISSING = 724 "report_missing";
     /// The lead decided a load.
     LOAD_PLANNED = 725 "load_planned";
+    /// Another instance reads the store's records for this one, or it reads them itself.
+    READER_CHANGED = 726 "reader_changed";
 }
