Let every instance hear a lead soon in large deployments

Cause: the lead told only peers heard within 4 s. Change: the lead tells all peers heard or announced within 30 s. Messages carry the address of the lead that the sender knows; who has not heard that lead makes itself known to it.

--- a/lovageridge/src/gateway/fleet/duty.rs
+++ b/lovageridge/src/gateway/fleet/duty.rs
@@ -128,7 +128,7 @@
         let message = peers_duty::message(gateway, Content::Residency(residency));
         let bytes = peers::encode(&message);
         let addrs: Vec<_> =
-            gateway.peers.borrow().living(now_ms).map(|(_, peer)| peer.addr).collect();
+            gateway.peers.borrow().known(now_ms).map(|(_, peer)| peer.addr).collect();
         for addr in addrs {
             peers_duty::send_bytes(gateway, addr, &bytes);
         }
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -76,6 +76,17 @@
     pub fence: u64,
     /// Time since it was heard, in ms.
     pub age_ms: u64,
+    /// Address of its port for peers; `None` when the sender leads.
+    pub addr: Option<SocketAddr>,
+}
+
+impl LeadSeen {
+    /// Returns the address of a lead that an instance has not heard itself; `known_fence` is the
+    /// lead that it knows.
+    pub fn to_meet(&self, known_fence: Option<u64>, own_addr: SocketAddr) -> Option<SocketAddr> {
+        let is_new = known_fence.is_none_or(|fence| fence < self.fence);
+        self.addr.filter(|addr| is_new && *addr != own_addr)
+    }
 }
 
 /// A target that requests wait for.
--- a/lovageridge/src/gateway/peers/duty.rs
+++ b/lovageridge/src/gateway/peers/duty.rs
@@ -86,7 +86,11 @@
     let store = gateway.store.borrow();
     let lead = gateway.lead.borrow();
     let lead = lead.as_ref().filter(|lead| now_ms <= lead.at_ms + LEAD_TOLD_MS);
-    let seen = lead.map(|lead| LeadSeen { fence: lead.fence, age_ms: now_ms - lead.at_ms });
+    let seen = lead.map(|lead| LeadSeen {
+        fence: lead.fence,
+        age_ms: now_ms - lead.at_ms,
+        addr: lead.addr,
+    });
     Message {
         from: gateway.settings().instance_id.clone(),
         domain: gateway.settings().domain.clone(),
@@ -122,6 +126,7 @@
     gateway.peers.borrow_mut().on_message(&message, from, now_ms);
     if let Some(seen) = message.lead {
         yield_to(gateway, seen.fence);
+        meet_lead(gateway, &seen);
     }
     match message.content {
         Content::Beat { ask } => {
@@ -143,6 +148,14 @@
     sync::on_peer_heard(gateway, now_ms);
 }
 
+/// Makes the instance known to a lead that it has not heard itself, so that it gets the lead's news.
+fn meet_lead(gateway: &Gateway, seen: &LeadSeen) {
+    let known = gateway.lead.borrow().as_ref().map(|lead| lead.fence);
+    if let Some(addr) = seen.to_meet(known, gateway.settings().peers_addr) {
+        send(gateway, addr, Content::Beat { ask: false });
+    }
+}
+
 /// Gives up the lead when another one has a higher fencing number.
 fn yield_to(gateway: &Gateway, fence: u64) {
     let own = gateway.election.borrow().fence();
--- a/lovageridge/src/gateway/peers/tests.rs
+++ b/lovageridge/src/gateway/peers/tests.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
 use test_case::test_case;
 
 use crate::gateway::peers;
@@ -22,7 +25,7 @@
         incarnation,
         progress: Progress { config_version: 3, operator_end: 5, workers_end },
         read_age_ms: None,
-        lead: Some(LeadSeen { fence: 4, age_ms: 20 }),
+        lead: Some(LeadSeen { fence: 4, age_ms: 20, addr: None }),
         content: Content::Beat { ask: true },
     }
 }
@@ -97,6 +100,66 @@
     assert_eq!(peers.sharing_count(122_500), 1);
 }
 
+/// Time in which a new lead has to be heard by all, in ms; the target for the end of a lead.
+const LEAD_HEARD_MS: u64 = 3000;
+/// Instances of the largest deployment seen.
+const MANY: u16 = 90;
+const BEAT_MS: u64 = 500;
+const ACCOUNT_MS: u64 = 300;
+
+struct Node {
+    peers: Peers,
+    lead: Option<LeadSeen>,
+}
+
+/// Hands a message to `to`, which may make itself known to the lead.
+fn deliver(nodes: &mut [Node], from: u16, to: u16, now_ms: u64) {
+    let message =
+        Message { lead: nodes[from as usize].lead, ..beat(&format!("n{from}"), "a", 1, 1) };
+    let node = &mut nodes[to as usize];
+    node.peers.on_message(&message, addr(from), now_ms);
+    let known = node.lead.map(|lead| lead.fence);
+    let meet = message.lead.and_then(|seen| seen.to_meet(known, addr(to)));
+    if let Some(lead) = meet {
+        let greeting = beat(&format!("n{to}"), "a", 1, 1);
+        nodes[lead.port() as usize].peers.on_message(&greeting, addr(to), now_ms);
+    }
+}
+
+/// Pattern: a takeover in a deployment of 90 instances, where two of them seldom hear each other.
+/// The new lead tells those that it knows; the others hear of it from them.
+#[test]
+fn a_new_lead_is_soon_heard_by_all_of_a_large_deployment() {
+    for seed in 0..20 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let old = LeadSeen { fence: 1, age_ms: 0, addr: Some(addr(1)) };
+        let node = || Node { peers: Peers::default(), lead: Some(old) };
+        let mut nodes: Vec<Node> = (0..MANY).map(|_| node()).collect();
+        // The lead knows a few others only.
+        for from in (2..MANY).choose_multiple(&mut rng, 9) {
+            deliver(&mut nodes, from, 0, 60_000);
+        }
+        let new = LeadSeen { fence: 2, age_ms: 0, addr: Some(addr(0)) };
+        nodes[0].lead = Some(LeadSeen { addr: None, ..new });
+        for now_ms in (60_000..60_000 + LEAD_HEARD_MS).step_by(100) {
+            if now_ms.is_multiple_of(BEAT_MS) {
+                for from in 0..MANY {
+                    for to in (0..MANY).filter(|to| *to != from).choose_multiple(&mut rng, 3) {
+                        deliver(&mut nodes, from, to, now_ms);
+                    }
+                }
+            }
+            if now_ms.is_multiple_of(ACCOUNT_MS) {
+                let known: Vec<u16> =
+                    nodes[0].peers.known(now_ms).map(|(_, peer)| peer.addr.port()).collect();
+                known.iter().for_each(|to| nodes[*to as usize].lead = Some(new));
+            }
+        }
+        let deaf = nodes.iter().filter(|node| node.lead.is_none_or(|lead| lead.fence < 2)).count();
+        assert_eq!(deaf, 0, "seed {seed}: instances that have not heard the new lead");
+    }
+}
+
 #[test]
 fn an_instance_that_was_not_heard_lately_still_gets_news() {
     let mut peers = Peers::default();
