Keep the cost of a lead within a small instance's link and processor

Cause: the lead told every instance of every worker each 300 ms, 28 Mbit/s at 90 workers and 90 instances where most links carry 10, and got 1,100 reports of demand a second. Ruled out: processor time of the other instances (0.007 of a core on average). Change: changes are told at once and twice more; each beat tells 12 further workers in turn, which is all of them on the small sites; newcomers get everything. Reports of demand that nobody waits for come every 80 ms among 8 instances and every 500 ms among 50 and more. Instances with less than a fifth of a core claim the lead after the others. Tests: accounts fit into half of a link of 10 Mbit/s, each worker is told again in time, changes and newcomers; order of claims.

--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -54,9 +54,6 @@
 use crate::hashing;
 use crate::sorted::Table;
 
-/// Longest time by which an instance delays a claim after others, in ms.
-const CLAIM_STAGGER_MAX_MS: u64 = 300;
-
 /// The lead as heard from itself.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct LeadHeard {
@@ -134,7 +131,7 @@
             settings.instance_id.clone(),
             incarnation,
             settings.successor_wait_ms(),
-            stagger % CLAIM_STAGGER_MAX_MS,
+            settings.claim_stagger_ms(stagger),
         );
         Self {
             incarnation,
--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -199,6 +199,14 @@
         changed
     }
 
+    /// Notes that the lead was heard, so that what it said before still counts.
+    pub fn on_lead_heard(&mut self, fence: u64, now_ms: u64) {
+        let views = self.workers.iter_mut().filter_map(|(_, worker)| worker.view.as_mut());
+        for view in views.filter(|view| view.fence == fence) {
+            view.at_ms = now_ms;
+        }
+    }
+
     /// Returns a worker.
     pub fn get(&self, id: &str) -> Option<&Worker> {
         self.workers.get(id)
--- a/lovageridge/src/gateway/fleet.rs
+++ b/lovageridge/src/gateway/fleet.rs
@@ -11,6 +11,7 @@
 use crate::gateway::peers::Want;
 use crate::sorted::Table;
 
+pub mod account;
 pub mod duty;
 mod plan;
 pub mod site;
--- /dev/null
+++ b/lovageridge/src/gateway/fleet/account/tests.rs
@@ -0,0 +1,116 @@
+//! Tests of what the lead tells, when workers and instances are many.
+
+use crate::gateway::directory::Loaded;
+use crate::gateway::directory::WorkerView;
+use crate::gateway::fleet::account::Accounts;
+use crate::gateway::fleet::account::BEAT_MS;
+
+/// Part of a machine's link that the lead's accounts may take.
+const LINK_SHARE: f64 = 0.5;
+/// Slowest link of a machine in the deployments seen, in bytes a second.
+const LINK_BYTES_PER_S: f64 = 10e6 / 8.0;
+/// Silence after which what the lead said of a worker no longer counts, in ms.
+const VIEW_STALE_MS: u64 = 3000;
+const PEERS: usize = 89;
+
+fn view(at: usize, model: usize) -> WorkerView {
+    let loaded = |number: usize| Loaded {
+        model: format!("daka5{number:05}"),
+        adapters: (1..=3).map(|adapter| format!("a{adapter}")).collect(),
+    };
+    WorkerView {
+        id: format!("i-{at:010}"),
+        born_ms: 1_774_640_177_125,
+        models: vec![loaded(model), loaded(model + 1), loaded(model + 2)],
+    }
+}
+
+fn views(count: usize) -> Vec<WorkerView> {
+    (0..count).map(|at| view(at, at)).collect()
+}
+
+fn len(views: &[WorkerView]) -> usize {
+    postcard::to_stdvec(views).expect("bytes").len()
+}
+
+/// Pattern: 90 workers and 90 instances; the lead has a link of 10 Mbit/s. A full account to each
+/// instance in each beat took more than twice that link, so that most of it was lost.
+#[test]
+fn accounts_fit_into_a_narrow_link() {
+    let mut accounts = Accounts::default();
+    accounts.due(7, views(90), 0);
+    let seconds = 10;
+    let mut bytes = 0;
+    for now_ms in (15..seconds * 1000).step_by(15) {
+        let mut now = views(90);
+        // Four workers change each second.
+        now[(now_ms / 250 % 90) as usize] = view((now_ms / 250 % 90) as usize, 500);
+        let due = accounts.due(7, now, now_ms);
+        bytes += due.map_or(0, |due| len(&due)) * PEERS;
+    }
+    let share = bytes as f64 / seconds as f64 / LINK_BYTES_PER_S;
+    assert!(share <= LINK_SHARE, "{share:.2} of the link");
+}
+
+#[test]
+fn every_worker_is_told_again_before_its_account_is_stale() {
+    let mut accounts = Accounts::default();
+    accounts.due(7, views(90), 0);
+    let mut told_ms = vec![0; 90];
+    for now_ms in (BEAT_MS..30_000).step_by(BEAT_MS as usize) {
+        for view in accounts.due(7, views(90), now_ms).expect("a beat") {
+            let at: usize = view.id[2..].parse().expect("a number");
+            told_ms[at] = now_ms;
+        }
+        let oldest_ms = told_ms.iter().min().expect("workers");
+        assert!(now_ms - oldest_ms < VIEW_STALE_MS, "{oldest_ms} at {now_ms}");
+    }
+}
+
+#[test]
+fn a_change_is_told_at_once_and_twice_more() {
+    let mut accounts = Accounts::default();
+    for now_ms in (0..=900).step_by(300) {
+        accounts.due(7, views(40), now_ms);
+    }
+    let mut changed = views(40);
+    changed[30] = view(30, 900);
+    let due = accounts.due(7, changed.clone(), 915).expect("the change");
+    assert_eq!(due, [changed[30].clone()]);
+    assert_eq!(accounts.due(7, changed.clone(), 930), None);
+    for now_ms in [1200, 1500] {
+        let due = accounts.due(7, changed.clone(), now_ms).expect("a beat");
+        assert!(due.contains(&changed[30]), "at {now_ms}");
+    }
+}
+
+#[test]
+fn a_few_workers_are_all_told_in_each_beat() {
+    let mut accounts = Accounts::default();
+    accounts.due(7, views(12), 0);
+    for now_ms in [900, 1200, 1500] {
+        assert_eq!(accounts.due(7, views(12), now_ms).map(|due| due.len()), Some(12));
+    }
+}
+
+#[test]
+fn newcomers_get_everything_once_under_each_lead() {
+    let mut accounts = Accounts::default();
+    accounts.due(7, views(40), 0);
+    let names: Vec<String> = vec!["n1".to_owned(), "n2".to_owned()];
+    assert_eq!(accounts.take_newcomers(names.iter()), names);
+    assert!(accounts.take_newcomers(names.iter()).is_empty());
+    assert_eq!(accounts.all().len(), 40);
+    accounts.due(8, views(39), 100);
+    assert_eq!(accounts.take_newcomers(names.iter()), names);
+    assert_eq!(accounts.all().len(), 39);
+}
+
+#[test]
+fn workers_that_are_gone_are_told_no_longer() {
+    let mut accounts = Accounts::default();
+    accounts.due(7, views(30), 0);
+    accounts.due(7, views(3), 300);
+    assert_eq!(accounts.all().len(), 3);
+    assert_eq!(accounts.due(7, views(3), 1200).map(|due| due.len()), Some(3));
+}
--- a/lovageridge/src/gateway/fleet/duty.rs
+++ b/lovageridge/src/gateway/fleet/duty.rs
@@ -1,5 +1,6 @@
 //! Carries out what the lead decides: calls to workers, and news of what they hold to peers.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
 use crate::gateway::directory::WorkerView;
 use crate::gateway::eventlog::Weight;
 use crate::gateway::fleet::Call;
+use crate::gateway::fleet::account::Accounts;
 use crate::gateway::link::Link;
 use crate::gateway::orders::Order;
 use crate::gateway::orders::OrderAnswer;
@@ -21,39 +23,28 @@
 use crate::gateway::peers::duty as peers_duty;
 use crate::platform::control;
 use crate::platform::headers;
-use crate::sorted::Table;
 use crate::telemetry::events;
 
 /// Longest time between looks at what is due while the instance leads.
 const LOOK: Duration = Duration::from_millis(15);
 /// Time between looks while it does not.
 const IDLE_LOOK: Duration = Duration::from_millis(500);
-/// Time between full accounts of what workers hold, in ms; peers miss the lead after 900 ms.
-const FULL_MS: u64 = 300;
 /// Time for a worker's answer to an order or report.
 const CALL_TIMEOUT: Duration = Duration::from_millis(350);
 /// Workers in one datagram, so that it stays far below the largest one.
 const VIEWS_PER_MESSAGE: usize = 24;
 
-/// What was last told to peers.
-#[derive(Default)]
-struct Told {
-    fence: u64,
-    number: u64,
-    full_ms: u64,
-    views: Table<String, WorkerView>,
-}
-
 /// Leads the model workers whenever the instance is the lead.
 pub async fn run(gateway: Rc<Gateway>) {
-    let mut told = Told::default();
+    let mut accounts = Accounts::default();
+    let mut number = 0;
     loop {
         let leads = gateway.fleet.borrow().is_some();
         let look = if leads { LOOK } else { IDLE_LOOK };
         // A look is due in any case: loads end and adapters become ready as time passes.
         let _ = timeout(look, gateway.fleet_due.notified()).await;
         let Some(calls) = tick(&gateway) else { continue };
-        tell(&gateway, &mut told);
+        tell(&gateway, &mut accounts, &mut number);
         for (worker, call) in calls {
             tokio::task::spawn_local(carry_out(Rc::clone(&gateway), worker, call));
         }
@@ -81,61 +72,68 @@
     Some(calls)
 }
 
-/// Tells peers, and this instance itself, what has changed; everything once in a while.
-fn tell(gateway: &Gateway, told: &mut Told) {
+/// Tells peers, and this instance itself, what is due; `number` counts the messages.
+fn tell(gateway: &Gateway, accounts: &mut Accounts, number: &mut u64) {
     let now_ms = gateway.now_ms();
     let Some((fence, views)) =
         gateway.fleet.borrow().as_ref().map(|fleet| (fleet.fence(), fleet.views(now_ms)))
     else {
         return;
     };
-    if told.fence != fence {
-        *told = Told { fence, ..Told::default() };
-    }
-    let full = now_ms >= told.full_ms + FULL_MS;
-    let changed = views
-        .into_iter()
-        .filter(|view| full || told.views.get(view.id.as_str()) != Some(view))
-        .collect::<Vec<_>>();
-    if changed.is_empty() && !full {
-        return;
-    }
-    if full {
-        told.full_ms = now_ms;
-    }
-    let claims_end = gateway.election.borrow().end_offset().unwrap_or(0);
+    let Some(due) = accounts.due(fence, views, now_ms) else { return };
     *gateway.lead.borrow_mut() = Some(LeadHeard {
         instance_id: gateway.settings().instance_id.clone(),
         fence,
         addr: None,
         at_ms: now_ms,
     });
-    let mut news = false;
-    let mut chunks: Vec<&[WorkerView]> = changed.chunks(VIEWS_PER_MESSAGE).collect();
+    let known: Vec<(String, SocketAddr)> = gateway
+        .peers
+        .borrow()
+        .known(now_ms)
+        .map(|(name, peer)| (name.clone(), peer.addr))
+        .collect();
+    let newcomers = accounts.take_newcomers(known.iter().map(|(name, _)| name));
+    let (new, old): (Vec<_>, Vec<_>) =
+        known.into_iter().partition(|(name, _)| newcomers.binary_search(name).is_ok());
+    send_account(gateway, fence, number, &due, &old);
+    if !new.is_empty() {
+        send_account(gateway, fence, number, &accounts.all(), &new);
+    }
+    let mut directory = gateway.directory.borrow_mut();
+    directory.on_lead_heard(fence, now_ms);
+    let mut changed = false;
+    for view in due {
+        changed |= directory.on_view(view, fence, *number, now_ms);
+    }
+    drop(directory);
+    if changed {
+        gateway.changed.notify_waiters();
+    }
+}
+
+fn send_account(
+    gateway: &Gateway,
+    fence: u64,
+    number: &mut u64,
+    views: &[WorkerView],
+    to: &[(String, SocketAddr)],
+) {
+    let claims_end = gateway.election.borrow().end_offset().unwrap_or(0);
+    let mut chunks: Vec<&[WorkerView]> = views.chunks(VIEWS_PER_MESSAGE).collect();
     if chunks.is_empty() {
         // An empty account still tells who leads.
         chunks.push(&[]);
     }
     for chunk in chunks {
-        told.number += 1;
-        for view in chunk {
-            told.views.insert(view.id.clone(), view.clone());
-            let mut directory = gateway.directory.borrow_mut();
-            news |= directory.on_view(view.clone(), fence, told.number, now_ms);
-        }
-        let residency =
-            Residency { fence, number: told.number, claims_end, workers: chunk.to_vec() };
+        *number += 1;
+        let residency = Residency { fence, number: *number, claims_end, workers: chunk.to_vec() };
         let message = peers_duty::message(gateway, Content::Residency(residency));
         let bytes = peers::encode(&message);
-        let addrs: Vec<_> =
-            gateway.peers.borrow().known(now_ms).map(|(_, peer)| peer.addr).collect();
-        for addr in addrs {
-            peers_duty::send_bytes(gateway, addr, &bytes);
+        for (_, addr) in to {
+            peers_duty::send_bytes(gateway, *addr, &bytes);
         }
     }
-    if news {
-        gateway.changed.notify_waiters();
-    }
 }
 
 async fn carry_out(gateway: Rc<Gateway>, worker: String, call: Call) {
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -26,6 +26,12 @@
 /// Time for which reads of the store count as fresh, in ms; with a read of a follower less than the
 /// two seconds in which changes have to be in force.
 pub const READS_FRESH_MS: u64 = 1500;
+/// Time between an instance's reports of demand to the lead in a small deployment, in ms.
+const DEMAND_MS: u64 = 80;
+/// Instances up to which a deployment is small.
+const SMALL_INSTANCES: u64 = 8;
+/// Longest time between reports of demand, in ms; a third of the time for which one counts.
+const DEMAND_MAX_MS: u64 = 500;
 /// Silence of all other failure domains that counts as a cut, in ms: two beats and some.
 const OTHERS_SILENT_MS: u64 = 1200;
 /// Silence after which they are taken to be gone and not cut off, in ms.
@@ -356,6 +362,12 @@
     }
 }
 
+/// Returns the time between reports of demand of one among `peers` instances, in ms, so that the lead
+/// gets about as many a second whatever their number; requests that begin to wait are told at once.
+pub fn demand_period_ms(peers: usize) -> u64 {
+    (DEMAND_MS * peers as u64 / SMALL_INSTANCES).clamp(DEMAND_MS, DEMAND_MAX_MS)
+}
+
 /// Encodes a datagram.
 pub fn encode(message: &Message) -> Vec<u8> {
     // Messages consist of plain values, which always encode.
--- a/lovageridge/src/gateway/peers/duty.rs
+++ b/lovageridge/src/gateway/peers/duty.rs
@@ -49,8 +49,6 @@
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
 /// Largest snapshot, in bytes.
 const SNAPSHOT_MAX_BYTES: u64 = 16 << 20;
-/// Time between reports of demand to the lead, in ms.
-const DEMAND_MS: u64 = 80;
 /// Time by which requests that begin to wait are told together, in ms.
 const DEMAND_GATHER_MS: u64 = 1;
 /// Largest datagram, in bytes.
@@ -193,6 +191,7 @@
     drop(election);
     let mut changed = false;
     let mut directory = gateway.directory.borrow_mut();
+    directory.on_lead_heard(residency.fence, now_ms);
     for view in residency.workers {
         changed |= directory.on_view(view, residency.fence, residency.number, now_ms);
     }
@@ -408,7 +407,8 @@
 /// Tells the lead what callers want, at once when requests begin to wait.
 pub async fn run_demand(gateway: Rc<Gateway>) {
     loop {
-        let period = Duration::from_millis(DEMAND_MS);
+        let peers = gateway.peers.borrow().known(gateway.now_ms()).count();
+        let period = Duration::from_millis(peers::demand_period_ms(peers));
         if timeout(period, gateway.demand_due.notified()).await.is_ok() {
             tokio::time::sleep(Duration::from_millis(DEMAND_GATHER_MS)).await;
         }
--- a/lovageridge/src/gateway/peers/tests.rs
+++ b/lovageridge/src/gateway/peers/tests.rs
@@ -169,3 +169,13 @@
     assert_eq!(names(12_000), ["gone", "seldom"]);
     assert_eq!(names(30_500), ["seldom"]);
 }
+
+/// Pattern: many instances report to one lead. Messages a second and processor time of each, at the
+/// lead, must not grow with the instances until the longest time between reports is reached.
+#[test_case(5, 80)]
+#[test_case(8, 80)]
+#[test_case(24, 240)]
+#[test_case(89, 500)]
+fn reports_of_demand_are_rarer_in_large_deployments(peers: usize, expected_ms: u64) {
+    assert_eq!(peers::demand_period_ms(peers), expected_ms);
+}
--- a/lovageridge/src/gateway/settings.rs
+++ b/lovageridge/src/gateway/settings.rs
@@ -3,6 +3,9 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
+#[cfg(test)]
+mod tests;
+
 /// Wait of a new lead unless the settings name one, in ms; as in the platform's example.
 pub const DEFAULT_LEASE_MS: u64 = 3000;
 /// Time to stop unless the settings name one, in ms; as in the platform's example.
@@ -15,6 +18,13 @@
 pub const DEFAULT_RETRY_WINDOW_MS: u64 = 10_000;
 /// Window of loads from the weight store unless the settings name one, in ms; as in the platform's example.
 pub const DEFAULT_LOAD_WINDOW_MS: u64 = 5000;
+/// Share of a core unless the settings name one, in 1/1000.
+pub const DEFAULT_CPU_PERMILLE: u64 = 1000;
+/// Share of a core below which an instance leaves the lead to larger ones, in 1/1000: a lead of 90
+/// instances takes up to a fifth of a core.
+const SMALL_CPU_PERMILLE: u64 = 200;
+/// Time by which claims are spread, in ms.
+const CLAIM_SPREAD_MS: u64 = 300;
 
 /// Settings of one gateway instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -49,6 +59,8 @@
     pub load_window_ms: u64,
     /// Whether workers refuse orders with a lower fencing number than they have seen.
     pub workers_check: bool,
+    /// Share of a core that the process may use, in 1/1000.
+    pub cpu_permille: u64,
 }
 
 impl GatewaySettings {
@@ -58,6 +70,13 @@
         if self.workers_check { 0 } else { self.lease_ms }
     }
 
+    /// Returns the time by which the instance delays a claim of the lead, in ms: spread by `random`,
+    /// and after all larger instances on a small one.
+    pub fn claim_stagger_ms(&self, random: u64) -> u64 {
+        let is_small = self.cpu_permille < SMALL_CPU_PERMILLE;
+        random % CLAIM_SPREAD_MS + if is_small { CLAIM_SPREAD_MS } else { 0 }
+    }
+
     /// Returns `newer` with the identity and the ports of these settings, which hold until the
     /// process ends.
     pub fn updated_with(&self, newer: Self) -> Self {
@@ -109,6 +128,7 @@
             retry_window_ms: DEFAULT_RETRY_WINDOW_MS,
             load_window_ms: DEFAULT_LOAD_WINDOW_MS,
             workers_check: false,
+            cpu_permille: DEFAULT_CPU_PERMILLE,
         };
         Self { settings }
     }
@@ -140,6 +160,8 @@
         load_window_ms: u64;
         /// Sets whether workers check fencing numbers.
         workers_check: bool;
+        /// Sets the share of a core that the process may use, in 1/1000.
+        cpu_permille: u64;
     }
 
     /// Returns the settings.
--- a/lovageridge/src/platform/settings.rs
+++ b/lovageridge/src/platform/settings.rs
@@ -58,7 +58,8 @@
     .retry_slack(optional(&rows, "Bounds.BudgetSlack", settings::DEFAULT_RETRY_SLACK)?)
     .retry_window_ms(thousandths(&rows, "Bounds.BudgetWindowS", settings::DEFAULT_RETRY_WINDOW_MS)?)
     .load_window_ms(thousandths(&rows, "Bounds.CeilingWindowS", settings::DEFAULT_LOAD_WINDOW_MS)?)
-    .workers_check(optional(&rows, "Bounds.RequireFence", false)?);
+    .workers_check(optional(&rows, "Bounds.RequireFence", false)?)
+    .cpu_permille(thousandths(&rows, "Limits.CpuShare", settings::DEFAULT_CPU_PERMILLE)?);
     Ok(builder.build())
 }
 
--- a/lovageridge/src/platform/tests.rs
+++ b/lovageridge/src/platform/tests.rs
@@ -20,6 +20,7 @@
 const SETTINGS: &str = "NodeName=edge-1\nZone=a\nIp=127.0.0.1\nListen.Front=127.0.0.1:8149\n\
     Listen.Ready=127.0.0.1:8141\nInternalPorts=7380,7395\nSeeds=127.0.0.1:8144,127.0.0.2:8144\n\
     Bounds.LeaseMs=2500\nBounds.GraceS=8\nBounds.RequireFence=true\nUnknown.Key=1\n\
+    Limits.CpuShare=0.12\n\
     Platform.Address=127.0.0.1:8142\n";
 
 #[test]
@@ -30,6 +31,7 @@
     assert_eq!(settings.seeds[1].to_string(), "127.0.0.2:7380");
     assert_eq!((settings.lease_ms, settings.grace_ms), (2500, 8000));
     assert!(settings.workers_check);
+    assert_eq!(settings.cpu_permille, 120);
 }
 
 #[test_case("Zone=a\n", "Zone"; "a missing key")]
