--- a/lovageridge/src/gateway/budget/tests.rs
+++ b/lovageridge/src/gateway/budget/tests.rs
@@ -58,6 +58,7 @@
             from: format!("n{number}"),
             domain: "a".to_owned(),
             incarnation: 1,
+            is_small: false,
             progress: Progress::default(),
             read_age_ms: None,
             lead: None,
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -199,6 +199,8 @@
     pub domain: String,
     /// Start of the sender's process.
     pub incarnation: u64,
+    /// Whether the sender leaves common duties to larger instances.
+    pub is_small: bool,
     /// What the sender has read from the store.
     pub progress: Progress,
     /// Time since the sender's own reads of the store, in ms; `None` when it does not read.
@@ -233,12 +235,31 @@
     pub announced_ms: u64,
     /// Time it was last heard, in ms; `None` when it is only known by name.
     pub heard_ms: Option<u64>,
+    /// Whether it leaves common duties to larger instances.
+    pub is_small: bool,
     /// What it has read from the store.
     pub progress: Progress,
     /// Time of its own reads of the store, in ms; `None` when it does not read.
     pub read_ms: Option<u64>,
 }
 
+/// Place of an instance among those of its failure domain: large ones come first, then by name.
+#[derive(Clone, Copy, Debug)]
+pub struct Rank<'a> {
+    /// Failure domain.
+    pub domain: &'a str,
+    /// Name.
+    pub instance_id: &'a str,
+    /// Whether it leaves common duties to larger instances.
+    pub is_small: bool,
+}
+
+impl Rank<'_> {
+    fn comes_after(&self, name: &str, peer: &Peer) -> bool {
+        (peer.is_small, name) < (self.is_small, self.instance_id)
+    }
+}
+
 /// The other instances.
 #[derive(Clone, Debug, Default)]
 pub struct Peers {
@@ -256,6 +277,7 @@
                 incarnation,
                 announced_ms: now_ms,
                 heard_ms: None,
+                is_small: false,
                 progress: Progress::default(),
                 read_ms: None,
             };
@@ -275,6 +297,7 @@
             incarnation: message.incarnation,
             announced_ms: older.map_or(0, |peer| peer.announced_ms),
             heard_ms: Some(now_ms),
+            is_small: message.is_small,
             progress: message.progress,
             read_ms: message.read_age_ms.map(|age_ms| now_ms.saturating_sub(age_ms)),
         };
@@ -317,28 +340,23 @@
         })
     }
 
-    /// Returns the instance whose reads of the store an instance of `domain` relies on: the first
-    /// one by name with fresh reads that has read no less. An instance whose own reads fail relies
-    /// on any of them, others only on those before them, so that one of a domain is left to read.
-    pub fn reader(
-        &self,
-        domain: &str,
-        instance_id: &str,
-        own: &StoreView,
-        now_ms: u64,
-    ) -> Option<(&String, &Peer)> {
-        let any = own.fails_itself(now_ms);
-        self.peers.iter().find(|(name, peer)| {
-            peer.domain == domain
-                && (any || name.as_str() < instance_id)
+    /// Returns the instance whose reads of the store `own` relies on: the first one with fresh reads
+    /// that has read no less. An instance whose own reads fail relies on any of them, others only on
+    /// those before them, so that one of a domain is left to read.
+    pub fn reader(&self, own: Rank<'_>, view: &StoreView, now_ms: u64) -> Option<(&String, &Peer)> {
+        let any = view.fails_itself(now_ms);
+        let fresh = self.peers.iter().filter(|(_, peer)| {
+            peer.domain == own.domain
                 && peer.read_ms.is_some_and(|read_ms| now_ms < read_ms + READS_FRESH_MS)
-                && !peer.progress.is_behind(&own.progress)
-        })
+                && !peer.progress.is_behind(&view.progress)
+        });
+        let first = fresh.min_by_key(|(name, peer)| (peer.is_small, *name))?;
+        (any || own.comes_after(first.0, first.1)).then_some(first)
     }
 
-    /// Tells whether no instance of `domain` that was heard lately comes before `instance_id`.
-    pub fn is_first(&self, domain: &str, instance_id: &str, now_ms: u64) -> bool {
-        self.near(domain, now_ms).all(|(name, _)| name.as_str() > instance_id)
+    /// Tells whether no instance of its domain that was heard lately comes before `own`.
+    pub fn is_first(&self, own: Rank<'_>, now_ms: u64) -> bool {
+        !self.near(own.domain, now_ms).any(|(name, peer)| own.comes_after(name, peer))
     }
 
     /// Returns the peers of `domain` that may still be there.
--- a/lovageridge/src/gateway/peers/duty.rs
+++ b/lovageridge/src/gateway/peers/duty.rs
@@ -93,6 +93,7 @@
         from: gateway.settings().instance_id.clone(),
         domain: gateway.settings().domain.clone(),
         incarnation: gateway.incarnation,
+        is_small: gateway.settings().is_small(),
         progress: store.progress,
         read_age_ms: store.read_ms(now_ms).map(|read_ms| now_ms - read_ms),
         lead: seen,
--- a/lovageridge/src/gateway/peers/tests.rs
+++ b/lovageridge/src/gateway/peers/tests.rs
@@ -23,6 +23,7 @@
         from: from.to_owned(),
         domain: domain.to_owned(),
         incarnation,
+        is_small: false,
         progress: Progress { config_version: 3, operator_end: 5, workers_end },
         read_age_ms: None,
         lead: Some(LeadSeen { fence: 4, age_ms: 20, addr: None }),
--- a/lovageridge/src/gateway/settings.rs
+++ b/lovageridge/src/gateway/settings.rs
@@ -3,6 +3,8 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
+use crate::gateway::peers::Rank;
+
 #[cfg(test)]
 mod tests;
 
@@ -20,8 +22,8 @@
 pub const DEFAULT_LOAD_WINDOW_MS: u64 = 5000;
 /// Share of a core unless the settings name one, in 1/1000.
 pub const DEFAULT_CPU_PERMILLE: u64 = 1000;
-/// Share of a core below which an instance leaves the lead to larger ones, in 1/1000: a lead of 90
-/// instances takes up to a fifth of a core.
+/// Share of a core below which an instance leaves common duties to larger ones, in 1/1000: a lead of
+/// 90 instances takes up to a fifth of a core.
 const SMALL_CPU_PERMILLE: u64 = 200;
 /// Time by which claims are spread, in ms.
 const CLAIM_SPREAD_MS: u64 = 300;
@@ -70,11 +72,20 @@
         if self.workers_check { 0 } else { self.lease_ms }
     }
 
+    /// Tells whether the instance leaves common duties to larger ones.
+    pub fn is_small(&self) -> bool {
+        self.cpu_permille < SMALL_CPU_PERMILLE
+    }
+
+    /// Returns its place among the instances of its failure domain.
+    pub fn rank(&self) -> Rank<'_> {
+        Rank { domain: &self.domain, instance_id: &self.instance_id, is_small: self.is_small() }
+    }
+
     /// Returns the time by which the instance delays a claim of the lead, in ms: spread by `random`,
     /// and after all larger instances on a small one.
     pub fn claim_stagger_ms(&self, random: u64) -> u64 {
-        let is_small = self.cpu_permille < SMALL_CPU_PERMILLE;
-        random % CLAIM_SPREAD_MS + if is_small { CLAIM_SPREAD_MS } else { 0 }
+        random % CLAIM_SPREAD_MS + if self.is_small() { CLAIM_SPREAD_MS } else { 0 }
     }
 
     /// Returns `newer` with the identity and the ports of these settings, which hold until the
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -91,7 +91,7 @@
     let peers = gateway.peers.borrow();
     let mut store = gateway.store.borrow_mut();
     let settings = gateway.settings();
-    let reader = peers.reader(&settings.domain, &settings.instance_id, &store, now_ms);
+    let reader = peers.reader(settings.rank(), &store, now_ms);
     let name = reader.map(|(name, _)| name.as_str());
     if store.set_reader(name) {
         let line = gateway.log.line(events::READER_CHANGED, Weight::Notable);
@@ -105,7 +105,7 @@
 fn retry_ms(gateway: &Gateway) -> u64 {
     let settings = gateway.settings();
     let peers = gateway.peers.borrow();
-    let is_first = peers.is_first(&settings.domain, &settings.instance_id, gateway.now_ms());
+    let is_first = peers.is_first(settings.rank(), gateway.now_ms());
     let is_outage = gateway.store.borrow().failures_in_row() > QUICK_RETRIES;
     if is_outage && !is_first { RETRY_OTHERS_MS } else { RETRY_MS }
 }
@@ -213,7 +213,7 @@
     let peers = gateway.peers.borrow();
     let mut store = gateway.store.borrow_mut();
     let settings = gateway.settings();
-    let reader = peers.reader(&settings.domain, &settings.instance_id, &store, now_ms);
+    let reader = peers.reader(settings.rank(), &store, now_ms);
     let Some((_, Peer { read_ms: Some(read_ms), progress, .. })) = reader else { return };
     if store.on_read_elsewhere(*read_ms, now_ms) {
         gateway.log.line(events::STORE_REACHABLE, Weight::Notable).text("topic", "").close();
--- a/lovageridge/src/gateway/sync/tests.rs
+++ b/lovageridge/src/gateway/sync/tests.rs
@@ -11,6 +11,7 @@
 use crate::gateway::peers::Content;
 use crate::gateway::peers::Message;
 use crate::gateway::peers::Peers;
+use crate::gateway::peers::Rank;
 use crate::gateway::sync::CALL_TIMEOUT;
 use crate::gateway::sync::QUICK_RETRIES;
 use crate::gateway::sync::RETRY_MS;
@@ -82,6 +83,7 @@
 
 struct Node {
     name: String,
+    is_small: bool,
     view: StoreView,
     peers: Peers,
     reading: [Option<Reading>; 2],
@@ -90,6 +92,10 @@
     reaches_store: bool,
 }
 
+fn rank(node: &Node) -> Rank<'_> {
+    Rank { domain: "a", instance_id: &node.name, is_small: node.is_small }
+}
+
 /// Instances of one failure domain between a store and a network that may lose datagrams.
 struct Domain {
     nodes: Vec<Node>,
@@ -105,6 +111,7 @@
     fn new(count: usize, seed: u64) -> Self {
         let node = |at: usize| Node {
             name: format!("n{at:02}"),
+            is_small: false,
             view: StoreView::default(),
             peers: Peers::default(),
             reading: [None, None],
@@ -172,6 +179,7 @@
             from: node.name.clone(),
             domain: "a".to_owned(),
             incarnation: 1,
+            is_small: node.is_small,
             progress: node.view.progress,
             read_age_ms: read_ms.map(|read_ms| self.now_ms - read_ms),
             lead: None,
@@ -197,12 +205,12 @@
             } else if waited_ms >= reading.wait_ms + CALL_TIMEOUT.as_millis() as u64 {
                 node.reading[row] = None;
                 node.view.on_failure(now_ms);
-                let is_first = node.peers.is_first("a", &node.name, now_ms);
+                let is_first = node.peers.is_first(rank(node), now_ms);
                 let quick = is_first || node.view.failures_in_row() <= QUICK_RETRIES;
                 node.next_ms[row] = now_ms + if quick { RETRY_MS } else { RETRY_OTHERS_MS };
             }
         } else if now_ms >= node.next_ms[row] {
-            let reader = node.peers.reader("a", &node.name, &node.view, now_ms);
+            let reader = node.peers.reader(rank(node), &node.view, now_ms);
             node.view.set_reader(reader.map(|(name, _)| name.as_str()));
             let shared = node.peers.near("a", now_ms).next().is_some();
             let step = node.view.step(topic, reader.map(|(_, peer)| peer), shared, now_ms);
@@ -239,7 +247,7 @@
             {
                 node.view.advance(topic, next);
             }
-            let reader = node.peers.reader("a", &node.name, &node.view, now_ms);
+            let reader = node.peers.reader(rank(node), &node.view, now_ms);
             if let Some(read_ms) = reader.and_then(|(_, peer)| peer.read_ms) {
                 node.view.on_read_elsewhere(read_ms, now_ms);
             }
@@ -275,6 +283,29 @@
     domain.assert_change_is_known_in_time("idle");
 }
 
+/// Pattern: two large instances among small ones, which have not enough processor time to tell
+/// seventeen others in time.
+#[test]
+fn large_instances_read_for_small_ones() {
+    let mut domain = Domain::new(17, 6);
+    for at in (0..17).filter(|at| ![11, 14].contains(at)) {
+        domain.nodes[at].is_small = true;
+    }
+    let readers = |domain: &Domain| -> Vec<String> {
+        let reading = domain.nodes.iter().filter(|node| node.runs && node.view.reader.is_none());
+        reading.map(|node| node.name.clone()).collect()
+    };
+    domain.meet();
+    domain.run_until(6000);
+    assert_eq!(readers(&domain), ["n11"]);
+    domain.nodes[11].runs = false;
+    domain.run_until(12_000);
+    assert_eq!(readers(&domain), ["n14"]);
+    domain.nodes[14].runs = false;
+    domain.run_until(18_000);
+    assert_eq!(readers(&domain), ["n00"]);
+}
+
 /// Pattern: a failure domain of 30 instances in a deployment of 90, where two instances seldom hear
 /// each other by chance, and records that change all the time.
 #[test]
--- a/lovageridge/src/gateway/sync/view.rs
+++ b/lovageridge/src/gateway/sync/view.rs
@@ -1,7 +1,7 @@
 //! What an instance has read from the store, and when it reads next.
 //!
-//! One instance of a failure domain reads for all of them: the first one by name whose reads are
-//! fresh. The others follow it, take its news as datagrams, and read by themselves when a datagram
+//! One instance of a failure domain reads for all of them: the first one whose reads are fresh, large
+//! ones before small ones, then by name. The others follow it, take its news as datagrams, and read by themselves when a datagram
 //! was lost or its reads grow old.
 
 use serde::Deserialize;
