--- a/lovageridge/src/callers/reply.rs
+++ b/lovageridge/src/callers/reply.rs
@@ -87,6 +87,7 @@
 
 /// A stream of server-sent events in progress.
 pub struct EventStream {
+    // The HTTP library hands its writer out as a trait object.
     out: Box<dyn Write + Send + 'static>,
 }
 
--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod call;
 pub mod caller_timeouts;
 pub mod catalog;
+pub mod codec;
 pub mod directory;
 pub mod eventlog;
 pub mod fleet;
@@ -78,7 +79,7 @@
     /// What has been read from the store.
     pub store: RefCell<StoreView>,
     /// Told when another instance of the domain has read more of the store.
-    pub news_due: Notify,
+    pub reader_ahead: Notify,
     /// Workers.
     pub directory: RefCell<Directory>,
     /// Kept connections to upstreams.
@@ -138,7 +139,7 @@
             clock,
             catalog: RefCell::default(),
             store: RefCell::default(),
-            news_due: Notify::new(),
+            reader_ahead: Notify::new(),
             directory: RefCell::default(),
             pool: RefCell::default(),
             changed: Notify::new(),
--- a/lovageridge/src/gateway/answer.rs
+++ b/lovageridge/src/gateway/answer.rs
@@ -23,6 +23,7 @@
 #[error("the stream broke off: {0}")]
 pub struct Broken(pub &'static str);
 
+// The future of an asynchronous function has no name, and a body has to keep it between polls.
 type Next = Pin<Box<dyn Future<Output = (Option<Result<Bytes, Broken>>, Relay)>>>;
 
 /// Body of an answer.
--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -441,7 +441,12 @@
     let reading = Limited::new(body, WHOLE_ANSWER_MAX_BYTES).collect();
     let body = match timeout(ms(left_ms), reading).await {
         Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => {
+        Ok(Err(error)) => {
+            let line = gateway.log.line(events::ANSWER_BROKEN, Weight::Notable);
+            line.text("request", call.id())
+                .text("worker", &in_flight.worker_id)
+                .text("reason", error)
+                .close();
             if may_repeat(gateway, call, tries) {
                 return Ok(None);
             }
--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -22,6 +22,7 @@
 use crate::gateway::eventlog::Weight;
 use crate::gateway::link::SendBody;
 use crate::gateway::link::dial;
+use crate::gateway::link::error_text;
 use crate::platform::headers;
 use crate::telemetry::events;
 
@@ -146,6 +147,7 @@
         }
         Err(_) => {
             count_send(gateway, call, tries, chosen, "timeout");
+            log_send(gateway, call, chosen, "no answer", &format!("timed out after {limit_ms} ms"));
             let mut directory = gateway.directory.borrow_mut();
             if let Some(worker) = directory.get_mut(&chosen.id) {
                 worker.health.on_failure(gateway.now_ms());
@@ -161,7 +163,7 @@
             if let Some(worker) = gateway.directory.borrow_mut().get_mut(&chosen.id) {
                 worker.health.on_failure(now_ms);
             }
-            log_send(gateway, call, chosen, "connection broke", &error.to_string());
+            log_send(gateway, call, chosen, "connection broke", &error_text(&error));
             return Sent::Unknown { cause: "the worker's connection broke" };
         }
     };
--- a/lovageridge/src/gateway/budget/tests.rs
+++ b/lovageridge/src/gateway/budget/tests.rs
@@ -62,7 +62,7 @@
             progress: Progress::default(),
             read_age_ms: None,
             lead: None,
-            content: Content::Beat { ask: false },
+            content: Content::Heartbeat { ask: false },
         };
         let addr = SocketAddr::from(([127, 0, 0, 1], 9000 + number as u16));
         peers.on_message(&message, addr, heard_ms);
--- a/lovageridge/src/gateway/catalog.rs
+++ b/lovageridge/src/gateway/catalog.rs
@@ -97,6 +97,15 @@
     pub engine: Option<Engine>,
 }
 
+/// Largest head of a request until a configuration is known, in bytes; all are answered 503 then.
+const START_HEADER_BYTES: usize = 16 << 10;
+/// Largest body until then, in bytes; what a refusal has to read at most.
+const START_BODY_BYTES: usize = 4 << 20;
+/// Longest time for a head until then, in ms; callers allow a new connection a second.
+const START_HEADER_TIMEOUT_MS: u64 = 3000;
+/// Idle time until then, in ms; a start without the store may take about as long.
+const START_IDLE_TIMEOUT_MS: u64 = 15_000;
+
 /// Limits on callers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -110,14 +119,13 @@
     pub idle_timeout_ms: u64,
 }
 
-// Holds until a configuration is known; every request is answered 503 then.
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            header_bytes: 16 << 10,
-            body_bytes: 4 << 20,
-            header_timeout_ms: 3000,
-            idle_timeout_ms: 15_000,
+            header_bytes: START_HEADER_BYTES,
+            body_bytes: START_BODY_BYTES,
+            header_timeout_ms: START_HEADER_TIMEOUT_MS,
+            idle_timeout_ms: START_IDLE_TIMEOUT_MS,
         }
     }
 }
--- /dev/null
+++ b/lovageridge/src/gateway/codec.rs
@@ -0,0 +1,19 @@
+//! Encoding of what instances tell each other and keep in the store.
+
+use serde::Serialize;
+
+use crate::gateway::Gateway;
+use crate::gateway::eventlog::Weight;
+use crate::telemetry::events;
+
+/// Encodes `value`; when that fails it is logged, and nothing is sent.
+pub fn encode(gateway: &Gateway, what: &str, value: &impl Serialize) -> Option<Vec<u8>> {
+    match postcard::to_stdvec(value) {
+        Ok(bytes) => Some(bytes),
+        Err(error) => {
+            let line = gateway.log.line(events::ENCODE_FAILED, Weight::Notable);
+            line.text("what", what).text("reason", error).close();
+            None
+        }
+    }
+}
--- a/lovageridge/src/gateway/eventlog.rs
+++ b/lovageridge/src/gateway/eventlog.rs
@@ -30,6 +30,9 @@
 /// Routine lines that may come at once.
 const ROUTINE_BURST: u64 = 120;
 
+/// Stack of the writing thread, in bytes; it only joins and writes text.
+const STACK_BYTES: usize = 64 << 10;
+
 /// How much a line matters when the volume must be bounded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Weight {
@@ -60,7 +63,7 @@
         out: impl Write + Send + 'static,
     ) -> std::io::Result<Self> {
         let (ring, lines) = flume::bounded::<String>(RING_LINES);
-        let builder = thread::Builder::new().name("event-log".to_owned()).stack_size(64 << 10);
+        let builder = thread::Builder::new().name("event-log".to_owned()).stack_size(STACK_BYTES);
         builder.spawn(move || write_lines(&lines, out))?;
         Ok(Self {
             instance_id: instance_id.into(),
--- a/lovageridge/src/gateway/fleet.rs
+++ b/lovageridge/src/gateway/fleet.rs
@@ -11,9 +11,9 @@
 use crate::gateway::peers::Want;
 use crate::sorted::Table;
 
-pub mod account;
 pub mod duty;
 mod plan;
+pub mod residency;
 pub mod site;
 
 #[cfg(test)]
--- a/lovageridge/src/gateway/fleet/duty.rs
+++ b/lovageridge/src/gateway/fleet/duty.rs
@@ -1,4 +1,4 @@
-//! Carries out what the lead decides: calls to workers, and news of what they hold to peers.
+//! Carries out what the lead decides: calls to workers, and messages to peers on what they hold.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,14 +10,14 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::LeadHeard;
+use crate::gateway::codec;
 use crate::gateway::directory::WorkerView;
 use crate::gateway::eventlog::Weight;
 use crate::gateway::fleet::Call;
-use crate::gateway::fleet::account::Accounts;
+use crate::gateway::fleet::residency::ResidencyUpdates;
 use crate::gateway::link::Link;
 use crate::gateway::orders::Order;
 use crate::gateway::orders::OrderAnswer;
-use crate::gateway::peers;
 use crate::gateway::peers::Content;
 use crate::gateway::peers::Residency;
 use crate::gateway::peers::duty as peers_duty;
@@ -36,7 +36,7 @@
 
 /// Leads the model workers whenever the instance is the lead.
 pub async fn run(gateway: Rc<Gateway>) {
-    let mut accounts = Accounts::default();
+    let mut updates = ResidencyUpdates::default();
     let mut number = 0;
     loop {
         let leads = gateway.fleet.borrow().is_some();
@@ -44,7 +44,7 @@
         // A look is due in any case: loads end and adapters become ready as time passes.
         let _ = timeout(look, gateway.fleet_due.notified()).await;
         let Some(calls) = tick(&gateway) else { continue };
-        tell(&gateway, &mut accounts, &mut number);
+        tell(&gateway, &mut updates, &mut number);
         for (worker, call) in calls {
             tokio::task::spawn_local(carry_out(Rc::clone(&gateway), worker, call));
         }
@@ -73,14 +73,14 @@
 }
 
 /// Tells peers, and this instance itself, what is due; `number` counts the messages.
-fn tell(gateway: &Gateway, accounts: &mut Accounts, number: &mut u64) {
+fn tell(gateway: &Gateway, updates: &mut ResidencyUpdates, number: &mut u64) {
     let now_ms = gateway.now_ms();
     let Some((fence, views)) =
         gateway.fleet.borrow().as_ref().map(|fleet| (fleet.fence(), fleet.views(now_ms)))
     else {
         return;
     };
-    let Some(due) = accounts.due(fence, views, now_ms) else { return };
+    let Some(due) = updates.due(fence, views, now_ms) else { return };
     *gateway.lead.borrow_mut() = Some(LeadHeard {
         instance_id: gateway.settings().instance_id.clone(),
         fence,
@@ -93,12 +93,12 @@
         .known(now_ms)
         .map(|(name, peer)| (name.clone(), peer.addr))
         .collect();
-    let newcomers = accounts.take_newcomers(known.iter().map(|(name, _)| name));
+    let newcomers = updates.take_newcomers(known.iter().map(|(name, _)| name));
     let (new, old): (Vec<_>, Vec<_>) =
         known.into_iter().partition(|(name, _)| newcomers.binary_search(name).is_ok());
-    send_account(gateway, fence, number, &due, &old);
+    send_residency(gateway, fence, number, &due, &old);
     if !new.is_empty() {
-        send_account(gateway, fence, number, &accounts.all(), &new);
+        send_residency(gateway, fence, number, &updates.all(), &new);
     }
     let mut directory = gateway.directory.borrow_mut();
     directory.on_lead_heard(fence, now_ms);
@@ -112,24 +112,25 @@
     }
 }
 
-fn send_account(
+fn send_residency(
     gateway: &Gateway,
     fence: u64,
     number: &mut u64,
     views: &[WorkerView],
     to: &[(String, SocketAddr)],
 ) {
+    // A lead knows the end, as it has appended its claim; receivers take only a higher one over.
     let claims_end = gateway.election.borrow().end_offset().unwrap_or(0);
     let mut chunks: Vec<&[WorkerView]> = views.chunks(VIEWS_PER_MESSAGE).collect();
     if chunks.is_empty() {
-        // An empty account still tells who leads.
+        // An empty message still tells who leads.
         chunks.push(&[]);
     }
     for chunk in chunks {
         *number += 1;
         let residency = Residency { fence, number: *number, claims_end, workers: chunk.to_vec() };
         let message = peers_duty::message(gateway, Content::Residency(residency));
-        let bytes = peers::encode(&message);
+        let Some(bytes) = codec::encode(gateway, "residency", &message) else { continue };
         for (_, addr) in to {
             peers_duty::send_bytes(gateway, *addr, &bytes);
         }
--- a/lovageridge/src/gateway/fleet/account.rs
+++ b/lovageridge/src/gateway/fleet/residency.rs
@@ -1,8 +1,8 @@
 //! Which parts of what workers hold the lead tells to peers, and when.
 //!
 //! Changes go out at once and are repeated, since datagrams get lost. All the rest goes round in
-//! parts, so that the cost of a beat does not grow with the number of workers. An instance that the
-//! lead has not told anything before gets everything.
+//! parts, so that the cost of a heartbeat does not grow with the number of workers. An instance that
+//! the lead has not told anything before gets everything.
 
 use crate::gateway::directory::WorkerView;
 use crate::sorted::Table;
@@ -10,11 +10,11 @@
 #[cfg(test)]
 mod tests;
 
-/// Time between beats of the lead, in ms; peers miss it after 900 ms.
-pub const BEAT_MS: u64 = 300;
-/// Unchanged workers that a beat tells of.
+/// Time between heartbeats of the lead, in ms; peers miss it after 900 ms, three of them.
+pub const HEARTBEAT_MS: u64 = 300;
+/// Unchanged workers that a heartbeat tells of; all workers of a small deployment.
 const ROUND_WORKERS: usize = 12;
-/// Beats that repeat a change.
+/// Heartbeats that repeat a change, so that two lost datagrams in a row do no harm.
 const REPEATS: u8 = 2;
 
 #[derive(Clone, Debug)]
@@ -25,16 +25,16 @@
 
 /// What the lead has told.
 #[derive(Clone, Debug, Default)]
-pub struct Accounts {
+pub struct ResidencyUpdates {
     fence: u64,
-    beat_ms: Option<u64>,
-    // Worker from which the next beat goes on.
+    heartbeat_ms: Option<u64>,
+    // Worker from which the next heartbeat goes on.
     next: String,
     told: Table<String, Told>,
     peers: Vec<String>,
 }
 
-impl Accounts {
+impl ResidencyUpdates {
     /// Returns the views to tell everybody now; `None` when there is nothing to tell.
     pub fn due(
         &mut self,
@@ -46,7 +46,8 @@
             *self = Self { fence, ..Self::default() };
         }
         self.told.retain(|id, _| views.iter().any(|view| view.id == *id));
-        let is_beat = self.beat_ms.is_none_or(|beat_ms| now_ms >= beat_ms + BEAT_MS);
+        let is_heartbeat =
+            self.heartbeat_ms.is_none_or(|heartbeat_ms| now_ms >= heartbeat_ms + HEARTBEAT_MS);
         let mut due = Vec::new();
         for view in views {
             let told = self.told.get(view.id.as_str());
@@ -56,10 +57,10 @@
                 due.push(view);
             }
         }
-        if !is_beat {
+        if !is_heartbeat {
             return (!due.is_empty()).then_some(due);
         }
-        self.beat_ms = Some(now_ms);
+        self.heartbeat_ms = Some(now_ms);
         self.add_repeats(&mut due);
         self.add_round(&mut due);
         Some(due)
--- a/lovageridge/src/gateway/fleet/account/tests.rs
+++ b/lovageridge/src/gateway/fleet/residency/tests.rs
@@ -2,10 +2,10 @@
 
 use crate::gateway::directory::Loaded;
 use crate::gateway::directory::WorkerView;
-use crate::gateway::fleet::account::Accounts;
-use crate::gateway::fleet::account::BEAT_MS;
+use crate::gateway::fleet::residency::HEARTBEAT_MS;
+use crate::gateway::fleet::residency::ResidencyUpdates;
 
-/// Part of a machine's link that the lead's accounts may take.
+/// Part of a machine's link that the lead's updates may take.
 const LINK_SHARE: f64 = 0.5;
 /// Slowest link of a machine in the deployments seen, in bytes a second.
 const LINK_BYTES_PER_S: f64 = 10e6 / 8.0;
@@ -33,19 +33,19 @@
     postcard::to_stdvec(views).expect("bytes").len()
 }
 
-/// Pattern: 90 workers and 90 instances; the lead has a link of 10 Mbit/s. A full account to each
-/// instance in each beat took more than twice that link, so that most of it was lost.
+/// Pattern: 90 workers and 90 instances; the lead has a link of 10 Mbit/s. All workers told to each
+/// instance in each heartbeat took more than twice that link, so that most of it was lost.
 #[test]
-fn accounts_fit_into_a_narrow_link() {
-    let mut accounts = Accounts::default();
-    accounts.due(7, views(90), 0);
+fn residency_updates_fit_into_a_narrow_link() {
+    let mut updates = ResidencyUpdates::default();
+    updates.due(7, views(90), 0);
     let seconds = 10;
     let mut bytes = 0;
     for now_ms in (15..seconds * 1000).step_by(15) {
         let mut now = views(90);
         // Four workers change each second.
         now[(now_ms / 250 % 90) as usize] = view((now_ms / 250 % 90) as usize, 500);
-        let due = accounts.due(7, now, now_ms);
+        let due = updates.due(7, now, now_ms);
         bytes += due.map_or(0, |due| len(&due)) * PEERS;
     }
     let share = bytes as f64 / seconds as f64 / LINK_BYTES_PER_S;
@@ -53,12 +53,12 @@
 }
 
 #[test]
-fn every_worker_is_told_again_before_its_account_is_stale() {
-    let mut accounts = Accounts::default();
-    accounts.due(7, views(90), 0);
+fn every_worker_is_told_again_before_its_view_is_stale() {
+    let mut updates = ResidencyUpdates::default();
+    updates.due(7, views(90), 0);
     let mut told_ms = vec![0; 90];
-    for now_ms in (BEAT_MS..30_000).step_by(BEAT_MS as usize) {
-        for view in accounts.due(7, views(90), now_ms).expect("a beat") {
+    for now_ms in (HEARTBEAT_MS..30_000).step_by(HEARTBEAT_MS as usize) {
+        for view in updates.due(7, views(90), now_ms).expect("a heartbeat") {
             let at: usize = view.id[2..].parse().expect("a number");
             told_ms[at] = now_ms;
         }
@@ -69,48 +69,48 @@
 
 #[test]
 fn a_change_is_told_at_once_and_twice_more() {
-    let mut accounts = Accounts::default();
+    let mut updates = ResidencyUpdates::default();
     for now_ms in (0..=900).step_by(300) {
-        accounts.due(7, views(40), now_ms);
+        updates.due(7, views(40), now_ms);
     }
     let mut changed = views(40);
     changed[30] = view(30, 900);
-    let due = accounts.due(7, changed.clone(), 915).expect("the change");
+    let due = updates.due(7, changed.clone(), 915).expect("the change");
     assert_eq!(due, [changed[30].clone()]);
-    assert_eq!(accounts.due(7, changed.clone(), 930), None);
+    assert_eq!(updates.due(7, changed.clone(), 930), None);
     for now_ms in [1200, 1500] {
-        let due = accounts.due(7, changed.clone(), now_ms).expect("a beat");
+        let due = updates.due(7, changed.clone(), now_ms).expect("a heartbeat");
         assert!(due.contains(&changed[30]), "at {now_ms}");
     }
 }
 
 #[test]
 fn a_few_workers_are_all_told_in_each_beat() {
-    let mut accounts = Accounts::default();
-    accounts.due(7, views(12), 0);
+    let mut updates = ResidencyUpdates::default();
+    updates.due(7, views(12), 0);
     for now_ms in [900, 1200, 1500] {
-        assert_eq!(accounts.due(7, views(12), now_ms).map(|due| due.len()), Some(12));
+        assert_eq!(updates.due(7, views(12), now_ms).map(|due| due.len()), Some(12));
     }
 }
 
 #[test]
 fn newcomers_get_everything_once_under_each_lead() {
-    let mut accounts = Accounts::default();
-    accounts.due(7, views(40), 0);
+    let mut updates = ResidencyUpdates::default();
+    updates.due(7, views(40), 0);
     let names: Vec<String> = vec!["n1".to_owned(), "n2".to_owned()];
-    assert_eq!(accounts.take_newcomers(names.iter()), names);
-    assert!(accounts.take_newcomers(names.iter()).is_empty());
-    assert_eq!(accounts.all().len(), 40);
-    accounts.due(8, views(39), 100);
-    assert_eq!(accounts.take_newcomers(names.iter()), names);
-    assert_eq!(accounts.all().len(), 39);
+    assert_eq!(updates.take_newcomers(names.iter()), names);
+    assert!(updates.take_newcomers(names.iter()).is_empty());
+    assert_eq!(updates.all().len(), 40);
+    updates.due(8, views(39), 100);
+    assert_eq!(updates.take_newcomers(names.iter()), names);
+    assert_eq!(updates.all().len(), 39);
 }
 
 #[test]
 fn workers_that_are_gone_are_told_no_longer() {
-    let mut accounts = Accounts::default();
-    accounts.due(7, views(30), 0);
-    accounts.due(7, views(3), 300);
-    assert_eq!(accounts.all().len(), 3);
-    assert_eq!(accounts.due(7, views(3), 1200).map(|due| due.len()), Some(3));
+    let mut updates = ResidencyUpdates::default();
+    updates.due(7, views(30), 0);
+    updates.due(7, views(3), 300);
+    assert_eq!(updates.all().len(), 3);
+    assert_eq!(updates.due(7, views(3), 1200).map(|due| due.len()), Some(3));
 }
--- a/lovageridge/src/gateway/lead/duty.rs
+++ b/lovageridge/src/gateway/lead/duty.rs
@@ -8,6 +8,7 @@
 use hyper::Method;
 
 use crate::gateway::Gateway;
+use crate::gateway::codec;
 use crate::gateway::eventlog::Weight;
 use crate::gateway::fleet::Fleet;
 use crate::gateway::lead::LeadRecord;
@@ -97,7 +98,8 @@
 async fn append(gateway: &Gateway, link: &mut Link, record: &LeadRecord, at_offset: u64) {
     let started_ms = gateway.now_ms();
     let path = store::append_path(store::LEAD_TOPIC, Some(at_offset));
-    let body = store::frame(&postcard::to_stdvec(record).unwrap_or_default());
+    let Some(bytes) = codec::encode(gateway, "claim", record) else { return };
+    let body = store::frame(&bytes);
     let call = link.call(Method::POST, &path, HeaderMap::new(), Bytes::from(body), CALL_TIMEOUT);
     let answer = call.await;
     let now_ms = gateway.now_ms();
--- a/lovageridge/src/gateway/link.rs
+++ b/lovageridge/src/gateway/link.rs
@@ -1,5 +1,6 @@
 //! Connections to upstreams, workers and the store.
 
+use std::error::Error as _;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -52,6 +53,14 @@
     pub body: Bytes,
 }
 
+/// Returns the text of an error of a connection with its cause.
+pub fn error_text(error: &hyper::Error) -> String {
+    match error.source() {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
+
 /// Opens a connection to `addr`.
 ///
 /// # Errors
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -1,7 +1,7 @@
 //! Messages between gateway instances and the view of who is there.
 //!
-//! Datagrams carry beats, demand, residency and news of the store; a snapshot of the store's records goes over TCP
-//! to an instance that cannot reach the store.
+//! Datagrams carry heartbeats, demand, residency and new records of the store; a snapshot of all
+//! records goes over TCP to an instance that cannot reach the store.
 
 use std::net::SocketAddr;
 
@@ -20,7 +20,7 @@
 
 /// Silence after which a peer no longer counts, in ms.
 const PEER_GONE_MS: u64 = 4000;
-/// Silence after which a peer gets no more news, in ms; those that rely on this instance are heard
+/// Silence after which a peer is told nothing more, in ms; those that rely on this instance are heard
 /// ten times as often.
 const KNOWN_MS: u64 = 30_000;
 /// Time for which reads of the store count as fresh, in ms; with a read of a follower less than the
@@ -32,7 +32,7 @@
 const SMALL_INSTANCES: u64 = 8;
 /// Longest time between reports of demand, in ms; a third of the time for which one counts.
 const DEMAND_MAX_MS: u64 = 500;
-/// Silence of all other failure domains that counts as a cut, in ms: two beats and some.
+/// Silence of all other failure domains that counts as a cut, in ms: two heartbeats and some.
 const OTHERS_SILENT_MS: u64 = 1200;
 /// Silence after which they are taken to be gone and not cut off, in ms.
 const OTHERS_FORGOTTEN_MS: u64 = 60_000;
@@ -89,7 +89,7 @@
 impl LeadSeen {
     /// Returns the address of a lead that an instance has not heard itself; `known_fence` is the
     /// lead that it knows.
-    pub fn to_meet(&self, known_fence: Option<u64>, own_addr: SocketAddr) -> Option<SocketAddr> {
+    pub fn to_contact(&self, known_fence: Option<u64>, own_addr: SocketAddr) -> Option<SocketAddr> {
         let is_new = known_fence.is_none_or(|fence| fence < self.fence);
         self.addr.filter(|addr| is_new && *addr != own_addr)
     }
@@ -163,7 +163,7 @@
 
 /// Records that the sender has read from the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct News {
+pub struct RecordBatch {
     /// Topic.
     pub topic: Topic,
     /// Offset from which was read.
@@ -177,8 +177,8 @@
 /// Content of a datagram.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Content {
-    /// The sender lives; asks for a beat back when `ask` is set.
-    Beat {
+    /// The sender lives; asks for a heartbeat back when `ask` is set.
+    Heartbeat {
         /// Whether the receiver shall answer.
         ask: bool,
     },
@@ -187,7 +187,7 @@
     /// What workers hold.
     Residency(Residency),
     /// Records of the store.
-    News(News),
+    Batch(RecordBatch),
 }
 
 /// A datagram.
@@ -386,13 +386,10 @@
     (DEMAND_MS * peers as u64 / SMALL_INSTANCES).clamp(DEMAND_MS, DEMAND_MAX_MS)
 }
 
-/// Encodes a datagram.
-pub fn encode(message: &Message) -> Vec<u8> {
-    // Messages consist of plain values, which always encode.
-    postcard::to_stdvec(message).unwrap_or_default()
-}
-
 /// Decodes a datagram.
-pub fn decode(bytes: &[u8]) -> Option<Message> {
-    postcard::from_bytes(bytes).ok()
+///
+/// # Errors
+/// Returns why it is no message.
+pub fn decode(bytes: &[u8]) -> Result<Message, postcard::Error> {
+    postcard::from_bytes(bytes)
 }
--- a/lovageridge/src/gateway/peers/duty.rs
+++ b/lovageridge/src/gateway/peers/duty.rs
@@ -1,4 +1,4 @@
-//! Beats, demand and snapshots between instances.
+//! Heartbeats, demand and snapshots between instances.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +18,7 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::LeadHeard;
+use crate::gateway::codec;
 use crate::gateway::eventlog::Weight;
 use crate::gateway::link;
 use crate::gateway::link::Answer;
@@ -27,7 +28,7 @@
 use crate::gateway::peers::Demand;
 use crate::gateway::peers::LeadSeen;
 use crate::gateway::peers::Message;
-use crate::gateway::peers::News;
+use crate::gateway::peers::RecordBatch;
 use crate::gateway::peers::Residency;
 use crate::gateway::peers::Running;
 use crate::gateway::peers::Snapshot;
@@ -37,10 +38,10 @@
 use crate::platform::store;
 use crate::telemetry::events;
 
-/// Time between beats, in ms.
-const BEAT_MS: u64 = 500;
-/// Peers that get each beat; news reaches every instance within a few beats.
-const BEAT_PEERS: usize = 3;
+/// Time between heartbeats, in ms.
+const HEARTBEAT_MS: u64 = 500;
+/// Peers that get each heartbeat; who leads reaches every instance within a few heartbeats.
+const HEARTBEAT_PEERS: usize = 3;
 /// Time between reads of the announced addresses while no peer is heard, in ms.
 const ALONE_READ_MS: u64 = 3000;
 /// Time for a call to the store.
@@ -54,7 +55,7 @@
 /// Largest datagram, in bytes.
 const DATAGRAM_MAX_BYTES: usize = 64 << 10;
 /// Most bytes of records in a datagram; with their offsets they fit into 64 KiB.
-const NEWS_MAX_BYTES: usize = 48 << 10;
+const BATCH_MAX_BYTES: usize = 48 << 10;
 /// Silence after which a lead is no longer told to peers, in ms.
 const LEAD_TOLD_MS: u64 = 4000;
 
@@ -66,11 +67,13 @@
 
 /// Sends a message to a peer.
 pub fn send(gateway: &Gateway, to: SocketAddr, content: Content) {
-    let bytes = peers::encode(&message(gateway, content));
-    send_bytes(gateway, to, &bytes);
+    if let Some(bytes) = codec::encode(gateway, "message", &message(gateway, content)) {
+        send_bytes(gateway, to, &bytes);
+    }
 }
 
-/// Sends an encoded message to a peer; a datagram that is lost is made up for by a later one.
+/// Sends an encoded message to a peer. What the socket does not take is counted and not logged: a
+/// later message makes up for it, and a full link would fill the log.
 pub fn send_bytes(gateway: &Gateway, to: SocketAddr, bytes: &[u8]) {
     gateway.metrics.datagram_bytes_total.inc_by(bytes.len() as u64);
     if gateway.socket.try_send_to(bytes, to).is_err() {
@@ -105,18 +108,27 @@
 pub async fn run_receiver(gateway: Rc<Gateway>) {
     let mut buffer = vec![0; DATAGRAM_MAX_BYTES];
     loop {
-        let Ok((len, from)) = gateway.socket.recv_from(&mut buffer).await else {
-            gateway.metrics.datagrams_dropped_total.inc();
-            tokio::time::sleep(Duration::from_millis(DEMAND_GATHER_MS)).await;
-            continue;
+        let (len, from) = match gateway.socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                note_dropped(&gateway, "", &error.to_string());
+                tokio::time::sleep(Duration::from_millis(DEMAND_GATHER_MS)).await;
+                continue;
+            }
         };
         match peers::decode(&buffer[..len]) {
-            Some(message) => on_message(&gateway, message, from),
-            None => gateway.metrics.datagrams_dropped_total.inc(),
+            Ok(message) => on_message(&gateway, message, from),
+            Err(error) => note_dropped(&gateway, &from.to_string(), &error.to_string()),
         }
     }
 }
 
+fn note_dropped(gateway: &Gateway, from: &str, reason: &str) {
+    gateway.metrics.datagrams_dropped_total.inc();
+    let line = gateway.log.line(events::DATAGRAM_DROPPED, Weight::Routine);
+    line.text("from", from).text("reason", reason).close();
+}
+
 fn on_message(gateway: &Rc<Gateway>, message: Message, from: SocketAddr) {
     if message.from == gateway.settings().instance_id {
         return;
@@ -125,12 +137,12 @@
     gateway.peers.borrow_mut().on_message(&message, from, now_ms);
     if let Some(seen) = message.lead {
         yield_to(gateway, seen.fence);
-        meet_lead(gateway, &seen);
+        contact_lead(gateway, &seen);
     }
     match message.content {
-        Content::Beat { ask } => {
+        Content::Heartbeat { ask } => {
             if ask {
-                send(gateway, from, Content::Beat { ask: false });
+                send(gateway, from, Content::Heartbeat { ask: false });
             }
         }
         Content::Demand(demand) => {
@@ -142,16 +154,17 @@
         Content::Residency(residency) => {
             on_residency(gateway, &message.from, message.incarnation, residency, from);
         }
-        Content::News(news) => sync::apply_news(gateway, &news),
+        Content::Batch(batch) => sync::apply_batch(gateway, &batch),
     }
     sync::on_peer_heard(gateway, now_ms);
 }
 
-/// Makes the instance known to a lead that it has not heard itself, so that it gets the lead's news.
-fn meet_lead(gateway: &Gateway, seen: &LeadSeen) {
+/// Makes the instance known to a lead that it has not heard itself, so that it is told
+/// what workers hold.
+fn contact_lead(gateway: &Gateway, seen: &LeadSeen) {
     let known = gateway.lead.borrow().as_ref().map(|lead| lead.fence);
-    if let Some(addr) = seen.to_meet(known, gateway.settings().peers_addr) {
-        send(gateway, addr, Content::Beat { ask: false });
+    if let Some(addr) = seen.to_contact(known, gateway.settings().peers_addr) {
+        send(gateway, addr, Content::Heartbeat { ask: false });
     }
 }
 
@@ -204,8 +217,8 @@
     }
 }
 
-/// Announces the instance and sends beats until the process ends.
-pub async fn run_beats(gateway: Rc<Gateway>) {
+/// Announces the instance and sends heartbeats until the process ends.
+pub async fn run_heartbeats(gateway: Rc<Gateway>) {
     let mut link = Link::new(gateway.settings().store_addr);
     let mut announced = false;
     let mut read_ms: Option<u64> = None;
@@ -222,20 +235,20 @@
             read_announced(&gateway, &mut link).await;
             let settings = gateway.settings();
             let others = settings.seeds.iter().filter(|addr| **addr != settings.peers_addr);
-            others.for_each(|addr| send(&gateway, *addr, Content::Beat { ask: true }));
+            others.for_each(|addr| send(&gateway, *addr, Content::Heartbeat { ask: true }));
         }
-        beat(&gateway);
+        heartbeat(&gateway);
         take_from_peer(&gateway).await;
         sync::drop_lapsed(&gateway);
         gateway.pool.borrow_mut().expire(now_ms);
-        tokio::time::sleep(Duration::from_millis(BEAT_MS)).await;
+        tokio::time::sleep(Duration::from_millis(HEARTBEAT_MS)).await;
     }
 }
 
 async fn announce(gateway: &Gateway, link: &mut Link) -> bool {
     let text =
         Announcement { addr: gateway.settings().peers_addr, incarnation: gateway.incarnation };
-    let value = postcard::to_stdvec(&text).unwrap_or_default();
+    let Some(value) = codec::encode(gateway, "announcement", &text) else { return false };
     let body = store::frame_keyed(&gateway.settings().instance_id, &value);
     let path = store::append_path(store::PEERS_TOPIC, None);
     let call = link.call(Method::POST, &path, HeaderMap::new(), Bytes::from(body), STORE_TIMEOUT);
@@ -289,17 +302,17 @@
         }
     }
     for addr in addrs {
-        send(gateway, addr, Content::Beat { ask: true });
+        send(gateway, addr, Content::Heartbeat { ask: true });
     }
 }
 
-/// Sends a beat to a few peers, one of them perhaps only known by name.
-fn beat(gateway: &Gateway) {
+/// Sends a heartbeat to a few peers, one of them perhaps only known by name.
+fn heartbeat(gateway: &Gateway) {
     let now_ms = gateway.now_ms();
     let peers = gateway.peers.borrow();
     let mut rng = rand::rng();
     let mut addrs: Vec<SocketAddr> =
-        peers.living(now_ms).map(|(_, peer)| peer.addr).choose_multiple(&mut rng, BEAT_PEERS);
+        peers.living(now_ms).map(|(_, peer)| peer.addr).choose_multiple(&mut rng, HEARTBEAT_PEERS);
     addrs.extend(peers.iter().map(|(_, peer)| peer.addr).choose(&mut rng));
     addrs.sort_unstable();
     addrs.dedup();
@@ -309,10 +322,10 @@
     drop(store);
     drop(peers);
     for addr in addrs {
-        send(gateway, addr, Content::Beat { ask: true });
+        send(gateway, addr, Content::Heartbeat { ask: true });
     }
     if let Some(addr) = reader_addr {
-        send(gateway, addr, Content::Beat { ask: false });
+        send(gateway, addr, Content::Heartbeat { ask: false });
     }
 }
 
@@ -320,25 +333,25 @@
 /// they rely on another one.
 pub fn tell_reads(gateway: &Gateway) {
     if gateway.store.borrow().reader.is_none() {
-        tell_near(gateway, Content::Beat { ask: false });
+        tell_near(gateway, Content::Heartbeat { ask: false });
     }
 }
 
 /// Tells the other instances of the domain what this one has read, unless they rely on another one.
-pub fn tell_news(gateway: &Gateway, news: News) {
-    let len: usize = news.records.iter().map(|(_, record)| record.len()).sum();
-    if len > NEWS_MAX_BYTES {
+pub fn send_batch(gateway: &Gateway, batch: RecordBatch) {
+    let len: usize = batch.records.iter().map(|(_, record)| record.len()).sum();
+    if len > BATCH_MAX_BYTES {
         // Those who find themselves behind read from the store.
         return tell_reads(gateway);
     }
     if gateway.store.borrow().reader.is_none() {
-        tell_near(gateway, Content::News(news));
+        tell_near(gateway, Content::Batch(batch));
     }
 }
 
 fn tell_near(gateway: &Gateway, content: Content) {
     let now_ms = gateway.now_ms();
-    let bytes = peers::encode(&message(gateway, content));
+    let Some(bytes) = codec::encode(gateway, "message", &message(gateway, content)) else { return };
     for (_, peer) in gateway.peers.borrow().near(&gateway.settings().domain, now_ms) {
         send_bytes(gateway, peer.addr, &bytes);
     }
@@ -393,7 +406,8 @@
                 continue;
             }
         };
-        let bytes = postcard::to_stdvec(&sync::snapshot(&gateway)).unwrap_or_default();
+        let snapshot = sync::snapshot(&gateway);
+        let Some(bytes) = codec::encode(&gateway, "snapshot", &snapshot) else { continue };
         tokio::task::spawn_local(async move {
             // A peer that went away asks again.
             let sending = async {
--- a/lovageridge/src/gateway/peers/tests.rs
+++ b/lovageridge/src/gateway/peers/tests.rs
@@ -18,7 +18,7 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-fn beat(from: &str, domain: &str, incarnation: u64, workers_end: u64) -> Message {
+fn heartbeat(from: &str, domain: &str, incarnation: u64, workers_end: u64) -> Message {
     Message {
         from: from.to_owned(),
         domain: domain.to_owned(),
@@ -27,26 +27,26 @@
         progress: Progress { config_version: 3, operator_end: 5, workers_end },
         read_age_ms: None,
         lead: Some(LeadSeen { fence: 4, age_ms: 20, addr: None }),
-        content: Content::Beat { ask: true },
+        content: Content::Heartbeat { ask: true },
     }
 }
 
 #[test]
 fn messages_survive_their_encoding_and_garbage_is_no_message() {
-    let message = beat("n1", "a", 7, 9);
-    let bytes = peers::encode(&message);
-    assert_eq!(peers::decode(&bytes), Some(message));
+    let message = heartbeat("n1", "a", 7, 9);
+    let bytes = postcard::to_stdvec(&message).expect("bytes");
+    assert_eq!(peers::decode(&bytes), Ok(message));
     for len in 0..bytes.len() {
-        assert_eq!(peers::decode(&bytes[..len]), None, "cut at {len}");
+        assert!(peers::decode(&bytes[..len]).is_err(), "cut at {len}");
     }
-    assert_eq!(peers::decode(&[0xff; 200]), None);
+    assert!(peers::decode(&[0xff; 200]).is_err());
 }
 
 #[test]
 fn a_datagram_of_an_earlier_start_does_not_replace_a_later_one() {
     let mut peers = Peers::default();
-    peers.on_message(&beat("n1", "a", 8, 1), addr(2), 100);
-    peers.on_message(&beat("n1", "a", 7, 1), addr(1), 200);
+    peers.on_message(&heartbeat("n1", "a", 8, 1), addr(2), 100);
+    peers.on_message(&heartbeat("n1", "a", 7, 1), addr(1), 200);
     peers.on_announced("n1", addr(3), 7, 300);
     let (_, peer) = peers.iter().next().expect("a peer");
     assert_eq!((peer.addr, peer.heard_ms), (addr(2), Some(100)));
@@ -58,9 +58,9 @@
 #[test]
 fn records_are_taken_from_a_living_peer_that_has_read_further() {
     let mut peers = Peers::default();
-    peers.on_message(&beat("dead", "a", 1, 99), addr(1), 0);
-    peers.on_message(&beat("behind", "a", 1, 4), addr(2), 9000);
-    peers.on_message(&beat("ahead", "b", 1, 12), addr(3), 9000);
+    peers.on_message(&heartbeat("dead", "a", 1, 99), addr(1), 0);
+    peers.on_message(&heartbeat("behind", "a", 1, 4), addr(2), 9000);
+    peers.on_message(&heartbeat("ahead", "b", 1, 12), addr(3), 9000);
     let own = Progress { config_version: 3, operator_end: 5, workers_end: 8 };
     let found = peers.ahead_of(own, 9100).map(|(name, _)| name.as_str());
     assert_eq!(found, Some("ahead"));
@@ -69,14 +69,14 @@
 }
 
 /// Pattern: a failure domain is cut off for some seconds while clients still reach it.
-#[test_case(900, false; "a lost beat is no cut")]
-#[test_case(1300, true; "two beats missed by all other domains are")]
+#[test_case(900, false; "a lost heartbeat is no cut")]
+#[test_case(1300, true; "two heartbeats missed by all other domains are")]
 #[test_case(70_000, false; "domains that are gone for good are not waited for")]
 fn silence_of_all_other_domains_counts_as_a_cut(silent_ms: u64, expected: bool) {
     let mut peers = Peers::default();
-    peers.on_message(&beat("near", "a", 1, 1), addr(1), 10_000 + silent_ms);
-    peers.on_message(&beat("far1", "b", 1, 1), addr(2), 9000);
-    peers.on_message(&beat("far2", "c", 1, 1), addr(3), 10_000);
+    peers.on_message(&heartbeat("near", "a", 1, 1), addr(1), 10_000 + silent_ms);
+    peers.on_message(&heartbeat("far1", "b", 1, 1), addr(2), 9000);
+    peers.on_message(&heartbeat("far2", "c", 1, 1), addr(3), 10_000);
     assert_eq!(peers.are_others_silent("a", 10_000 + silent_ms), expected);
 }
 
@@ -86,7 +86,7 @@
     assert!(!peers.are_others_silent("a", 5000));
     peers.on_announced("far", addr(1), 1, 300);
     assert!(!peers.are_others_silent("a", 5000));
-    peers.on_message(&beat("near", "a", 1, 1), addr(2), 100);
+    peers.on_message(&heartbeat("near", "a", 1, 1), addr(2), 100);
     assert!(!peers.are_others_silent("a", 5000));
 }
 
@@ -94,7 +94,7 @@
 fn a_silent_or_announced_instance_keeps_its_share_for_a_while() {
     let mut peers = Peers::default();
     assert_eq!(peers.sharing_count(0), 1);
-    peers.on_message(&beat("n1", "a", 1, 1), addr(1), 1000);
+    peers.on_message(&heartbeat("n1", "a", 1, 1), addr(1), 1000);
     peers.on_announced("n2", addr(2), 1, 2000);
     assert_eq!(peers.sharing_count(60_000), 3);
     assert_eq!(peers.sharing_count(121_500), 2);
@@ -105,7 +105,7 @@
 const LEAD_HEARD_MS: u64 = 3000;
 /// Instances of the largest deployment seen.
 const MANY: u16 = 90;
-const BEAT_MS: u64 = 500;
+const HEARTBEAT_MS: u64 = 500;
 const ACCOUNT_MS: u64 = 300;
 
 struct Node {
@@ -116,13 +116,13 @@
 /// Hands a message to `to`, which may make itself known to the lead.
 fn deliver(nodes: &mut [Node], from: u16, to: u16, now_ms: u64) {
     let message =
-        Message { lead: nodes[from as usize].lead, ..beat(&format!("n{from}"), "a", 1, 1) };
+        Message { lead: nodes[from as usize].lead, ..heartbeat(&format!("n{from}"), "a", 1, 1) };
     let node = &mut nodes[to as usize];
     node.peers.on_message(&message, addr(from), now_ms);
     let known = node.lead.map(|lead| lead.fence);
-    let meet = message.lead.and_then(|seen| seen.to_meet(known, addr(to)));
+    let meet = message.lead.and_then(|seen| seen.to_contact(known, addr(to)));
     if let Some(lead) = meet {
-        let greeting = beat(&format!("n{to}"), "a", 1, 1);
+        let greeting = heartbeat(&format!("n{to}"), "a", 1, 1);
         nodes[lead.port() as usize].peers.on_message(&greeting, addr(to), now_ms);
     }
 }
@@ -143,7 +143,7 @@
         let new = LeadSeen { fence: 2, age_ms: 0, addr: Some(addr(0)) };
         nodes[0].lead = Some(LeadSeen { addr: None, ..new });
         for now_ms in (60_000..60_000 + LEAD_HEARD_MS).step_by(100) {
-            if now_ms.is_multiple_of(BEAT_MS) {
+            if now_ms.is_multiple_of(HEARTBEAT_MS) {
                 for from in 0..MANY {
                     for to in (0..MANY).filter(|to| *to != from).choose_multiple(&mut rng, 3) {
                         deliver(&mut nodes, from, to, now_ms);
@@ -156,16 +156,17 @@
                 known.iter().for_each(|to| nodes[*to as usize].lead = Some(new));
             }
         }
-        let deaf = nodes.iter().filter(|node| node.lead.is_none_or(|lead| lead.fence < 2)).count();
-        assert_eq!(deaf, 0, "seed {seed}: instances that have not heard the new lead");
+        let unaware =
+            nodes.iter().filter(|node| node.lead.is_none_or(|lead| lead.fence < 2)).count();
+        assert_eq!(unaware, 0, "seed {seed}: instances that have not heard the new lead");
     }
 }
 
 #[test]
 fn an_instance_that_was_not_heard_lately_still_gets_news() {
     let mut peers = Peers::default();
-    peers.on_message(&beat("seldom", "a", 1, 1), addr(1), 1000);
-    peers.on_message(&beat("gone", "a", 1, 1), addr(2), 0);
+    peers.on_message(&heartbeat("seldom", "a", 1, 1), addr(1), 1000);
+    peers.on_message(&heartbeat("gone", "a", 1, 1), addr(2), 0);
     let names = |now_ms: u64| peers.known(now_ms).map(|(name, _)| name.clone()).collect::<Vec<_>>();
     assert_eq!(names(12_000), ["gone", "seldom"]);
     assert_eq!(names(30_500), ["seldom"]);
--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -22,6 +22,7 @@
 use crate::gateway::call::OutcomeFields;
 use crate::gateway::catalog::RouteKind;
 use crate::gateway::eventlog::Weight;
+use crate::gateway::link;
 use crate::telemetry::events;
 
 #[cfg(test)]
@@ -103,7 +104,7 @@
 
 struct ArrivingRest {
     outcome: OutcomeFields,
-    sender: hyper::client::conn::http1::SendRequest<crate::gateway::link::SendBody>,
+    sender: hyper::client::conn::http1::SendRequest<link::SendBody>,
     in_flight: InFlight,
 }
 
@@ -140,7 +141,7 @@
 enum Read {
     Data(Bytes),
     End,
-    Broke(&'static str),
+    Broke(hyper::Error),
     Silent,
     OutOfTime,
 }
@@ -190,12 +191,13 @@
                 // Silence alone is no reason to end a stream that nobody else can continue.
                 Read::Silent if !attempt::can_switch(&self.gateway, &self.call, &self.tries) => {}
                 Read::Silent => {
-                    if !self.switch("the worker fell silent").await {
+                    if !self.switch("the worker fell silent", "").await {
                         return self.break_off("the worker fell silent");
                     }
                 }
-                Read::Broke(cause) => {
-                    if !self.switch(cause).await {
+                Read::Broke(error) => {
+                    let cause = "the worker broke off";
+                    if !self.switch(cause, &link::error_text(&error)).await {
                         return self.break_off(cause);
                     }
                 }
@@ -226,7 +228,7 @@
             .close();
     }
 
-    fn note_broken(&mut self, cause: &'static str) {
+    fn note_broken(&mut self, cause: &'static str, detail: &str) {
         // Dropping the connection ends the work of the worker before another one starts.
         let Some(source) = self.source.take() else { return };
         let worker_id = source.arriving.in_flight.worker_id.clone();
@@ -237,6 +239,7 @@
         line.text("request", self.call.id())
             .text("worker", &worker_id)
             .text("cause", cause)
+            .text("detail", detail)
             .number("after_ms", self.gateway.now_ms() - self.call.arrived_ms)
             .number("last_event", self.cut.last_id().map_or(-1, i128::from))
             .text("resumable", self.resumable)
@@ -244,8 +247,8 @@
     }
 
     /// Leaves the worker and goes on at another one; tells whether there is one.
-    async fn switch(&mut self, cause: &'static str) -> bool {
-        self.note_broken(cause);
+    async fn switch(&mut self, cause: &'static str, detail: &str) -> bool {
+        self.note_broken(cause, detail);
         self.resumable && self.resume().await
     }
 
@@ -308,7 +311,7 @@
                     Ok(data) if !data.is_empty() => return Read::Data(data),
                     _ => {}
                 },
-                Ok(Some(Err(_))) => return Read::Broke("the worker broke off"),
+                Ok(Some(Err(error))) => return Read::Broke(error),
                 Ok(None) => return Read::End,
                 Err(_) if limit_ms == left_ms => return Read::OutOfTime,
                 Err(_) => return Read::Silent,
--- a/lovageridge/src/gateway/run.rs
+++ b/lovageridge/src/gateway/run.rs
@@ -96,7 +96,7 @@
     tokio::task::spawn_local(sync::run_operator(spawn(&gateway)));
     tokio::task::spawn_local(sync::run_workers(spawn(&gateway)));
     tokio::task::spawn_local(peers::duty::run_receiver(spawn(&gateway)));
-    tokio::task::spawn_local(peers::duty::run_beats(spawn(&gateway)));
+    tokio::task::spawn_local(peers::duty::run_heartbeats(spawn(&gateway)));
     tokio::task::spawn_local(peers::duty::run_snapshots(spawn(&gateway), snapshots));
     tokio::task::spawn_local(peers::duty::run_demand(spawn(&gateway)));
     tokio::task::spawn_local(lead::duty::run(spawn(&gateway)));
--- a/lovageridge/src/gateway/settings.rs
+++ b/lovageridge/src/gateway/settings.rs
@@ -25,7 +25,7 @@
 /// Share of a core below which an instance leaves common duties to larger ones, in 1/1000: a lead of
 /// 90 instances takes up to a fifth of a core.
 const SMALL_CPU_PERMILLE: u64 = 200;
-/// Time by which claims are spread, in ms.
+/// Time by which claims are spread, in ms; several appends to the store fit in.
 const CLAIM_SPREAD_MS: u64 = 300;
 
 /// Settings of one gateway instance.
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -16,8 +16,8 @@
 use crate::gateway::eventlog::Weight;
 use crate::gateway::link::Link;
 use crate::gateway::peers;
-use crate::gateway::peers::News;
 use crate::gateway::peers::Peer;
+use crate::gateway::peers::RecordBatch;
 use crate::gateway::peers::Snapshot;
 use crate::gateway::sync::view::TailStep;
 use crate::gateway::sync::view::Topic;
@@ -36,11 +36,12 @@
 /// Time from the first read after the store's return to the next one, in ms: half of the time in
 /// which a configuration has to be in force, so that all instances together do not overrun the store.
 const RETURN_GAP_MS: u64 = 1000;
-/// Pause after a failed read, in ms.
+/// Pause after a failed read, in ms; eight fit into the time in which a change has to be in force.
 const RETRY_MS: u64 = 250;
 /// Failed reads in a row after which only the first instance of a domain keeps to that pause.
 const QUICK_RETRIES: u32 = 2;
-/// Pause of the others, in ms; the first one tells them of the store's return.
+/// Pause of the others, in ms, a third of the time after which they count as in touch with the store;
+/// the first one tells them of its return.
 const RETRY_OTHERS_MS: u64 = 1000;
 
 /// Tails the operator's records until the process ends.
@@ -61,9 +62,9 @@
         let returns = gateway.store.borrow().is_away();
         let result = match next_step(gateway, topic, started_ms) {
             TailStep::Follow { until_ms } => {
-                let waiting = gateway.news_due.notified();
+                let waiting = gateway.reader_ahead.notified();
                 let time_ms = until_ms.saturating_sub(started_ms);
-                // The end of the wait and news both lead to another look.
+                // The end of the wait and a reader that is ahead both lead to another look.
                 let _ = timeout(Duration::from_millis(time_ms), waiting).await;
                 continue;
             }
@@ -186,7 +187,10 @@
     let next_offset = tail.records.last().map_or(offset, |(at, _)| at + 1);
     apply_tail(gateway, topic, offset, &tail.records);
     gateway.store.borrow_mut().advance(topic, next_offset);
-    peers::duty::tell_news(gateway, News { topic, offset, next_offset, records: tail.records });
+    peers::duty::send_batch(
+        gateway,
+        RecordBatch { topic, offset, next_offset, records: tail.records },
+    );
     Ok(())
 }
 
@@ -201,11 +205,13 @@
 }
 
 /// Takes over what another instance of the domain has read, unless records before it are missing.
-pub fn apply_news(gateway: &Gateway, news: &News) {
-    let own = gateway.store.borrow().next_offset(news.topic);
-    let Some(own) = own.filter(|own| (news.offset..news.next_offset).contains(own)) else { return };
-    apply_tail(gateway, news.topic, own, &news.records);
-    gateway.store.borrow_mut().advance(news.topic, news.next_offset);
+pub fn apply_batch(gateway: &Gateway, batch: &RecordBatch) {
+    let own = gateway.store.borrow().next_offset(batch.topic);
+    let Some(own) = own.filter(|own| (batch.offset..batch.next_offset).contains(own)) else {
+        return;
+    };
+    apply_tail(gateway, batch.topic, own, &batch.records);
+    gateway.store.borrow_mut().advance(batch.topic, batch.next_offset);
 }
 
 /// Takes over how far and when the instance that this one relies on has read.
@@ -219,7 +225,7 @@
         gateway.log.line(events::STORE_REACHABLE, Weight::Notable).text("topic", "").close();
     }
     if store.progress.is_behind(progress) {
-        gateway.news_due.notify_waiters();
+        gateway.reader_ahead.notify_waiters();
     }
 }
 
--- a/lovageridge/src/gateway/sync/tests.rs
+++ b/lovageridge/src/gateway/sync/tests.rs
@@ -29,9 +29,9 @@
 const READER_CALLS_PER_S: f64 = 2.0 / 0.7;
 /// Step of the virtual time, in ms.
 const TICK_MS: u64 = 10;
-/// Time between beats, in ms, and how many instances get each.
-const BEAT_MS: u64 = 500;
-const BEAT_PEERS: usize = 3;
+/// Time between heartbeats, in ms, and how many instances get each.
+const HEARTBEAT_MS: u64 = 500;
+const HEARTBEAT_PEERS: usize = 3;
 const TOPICS: [Topic; 2] = [Topic::Operator, Topic::Workers];
 
 #[test]
@@ -103,7 +103,7 @@
     now_ms: u64,
     calls: u64,
     lost_share: f64,
-    beat_share: f64,
+    heartbeat_share: f64,
     rng: StdRng,
 }
 
@@ -125,7 +125,7 @@
             now_ms: 0,
             calls: 0,
             lost_share: 0.0,
-            beat_share: 1.0,
+            heartbeat_share: 1.0,
             rng: StdRng::seed_from_u64(seed),
         }
     }
@@ -133,8 +133,8 @@
     fn run_until(&mut self, until_ms: u64) {
         while self.now_ms < until_ms {
             self.now_ms += TICK_MS;
-            if self.now_ms.is_multiple_of(BEAT_MS) {
-                self.beat();
+            if self.now_ms.is_multiple_of(HEARTBEAT_MS) {
+                self.heartbeat();
             }
             for at in 0..self.nodes.len() {
                 if self.nodes[at].runs {
@@ -144,13 +144,14 @@
         }
     }
 
-    /// Sends a beat of each instance to a few others, and to the one it relies on when that is due.
-    fn beat(&mut self) {
+    /// Sends a heartbeat of each instance to a few others, and to the one that it relies on when due.
+    fn heartbeat(&mut self) {
         for from in (0..self.nodes.len()).filter(|from| self.nodes[*from].runs).collect::<Vec<_>>()
         {
             let reader = self.nodes[from].view.take_registration(self.now_ms).map(str::to_owned);
             let reader = self.nodes.iter().position(|node| Some(&node.name) == reader.as_ref());
-            let count = if self.rng.random_bool(self.beat_share) { BEAT_PEERS } else { 0 };
+            let count =
+                if self.rng.random_bool(self.heartbeat_share) { HEARTBEAT_PEERS } else { 0 };
             let random = (0..count).map(|_| self.rng.random_range(0..self.nodes.len()));
             let to: Vec<usize> = random.chain(reader).collect();
             let message = self.message(from);
@@ -183,7 +184,7 @@
             progress: node.view.progress,
             read_age_ms: read_ms.map(|read_ms| self.now_ms - read_ms),
             lead: None,
-            content: Content::Beat { ask: false },
+            content: Content::Heartbeat { ask: false },
         }
     }
 
@@ -192,9 +193,9 @@
         let end = self.ends[row];
         let node = &mut self.nodes[at];
         if let Some(reading) = &node.reading[row] {
-            let has_news = reading.offset.is_none_or(|offset| offset < end);
+            let has_records = reading.offset.is_none_or(|offset| offset < end);
             let waited_ms = now_ms - reading.started_ms;
-            if node.reaches_store && (has_news || waited_ms >= reading.wait_ms) {
+            if node.reaches_store && (has_records || waited_ms >= reading.wait_ms) {
                 let gap_ms = topic.gap_ms();
                 node.next_ms[row] = (reading.started_ms + gap_ms).max(now_ms);
                 let from = reading.offset;
@@ -224,7 +225,7 @@
         }
     }
 
-    fn tell(&mut self, from: usize, news: Option<(Topic, u64, u64)>) {
+    fn tell(&mut self, from: usize, batch: Option<(Topic, u64, u64)>) {
         let now_ms = self.now_ms;
         let node = &self.nodes[from];
         if node.view.reader.is_some() {
@@ -242,7 +243,7 @@
             }
             let node = &mut self.nodes[to];
             node.peers.on_message(&message, nowhere(), now_ms);
-            if let Some((topic, offset, next)) = news
+            if let Some((topic, offset, next)) = batch
                 && node.view.next_offset(topic).is_some_and(|own| (offset..next).contains(&own))
             {
                 node.view.advance(topic, next);
@@ -311,7 +312,7 @@
 #[test]
 fn an_instance_that_reads_for_others_knows_them_all() {
     let mut domain = Domain::new(30, 5);
-    domain.beat_share = 0.02;
+    domain.heartbeat_share = 0.02;
     domain.meet();
     domain.run_until(40_000);
     let before = domain.calls;
@@ -328,7 +329,7 @@
 /// Pattern: workers' records change all the time, and a share of the datagrams is lost.
 #[test_case(0.05)]
 #[test_case(0.3)]
-fn lost_news_are_read_from_the_store(lost_share: f64) {
+fn lost_batches_are_read_from_the_store(lost_share: f64) {
     let mut domain = Domain::new(8, 2);
     domain.run_until(5000);
     domain.lost_share = lost_share;
--- a/lovageridge/src/gateway/sync/view.rs
+++ b/lovageridge/src/gateway/sync/view.rs
@@ -1,8 +1,8 @@
 //! What an instance has read from the store, and when it reads next.
 //!
 //! One instance of a failure domain reads for all of them: the first one whose reads are fresh, large
-//! ones before small ones, then by name. The others follow it, take its news as datagrams, and read by themselves when a datagram
-//! was lost or its reads grow old.
+//! ones before small ones, then by name. The others follow it and take what it has read as
+//! datagrams; they read by themselves when a datagram was lost or its reads grow old.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -23,9 +23,11 @@
 /// Shortest time between reads of the workers' records, in ms; half of the time in which a leaving
 /// worker must get no new work, less a read.
 const WORKERS_GAP_MS: u64 = 700;
-/// Time for which news may be on their way after their sender was seen to be ahead, in ms.
-const NEWS_WAIT_MS: u64 = 60;
-/// Time after a failed read for which an instance relies on any other reader of its domain, in ms.
+/// Time for which records may be on their way after their sender was seen to be ahead, in ms; many
+/// times that of a datagram within a failure domain.
+const BATCH_WAIT_MS: u64 = 60;
+/// Time after a failed read for which an instance relies on any other reader of its domain, in ms;
+/// as long as reads count as fresh.
 const RELY_ON_OTHERS_MS: u64 = 1500;
 /// Time after which an instance tells the one it relies on again that it does, in ms; much less than
 /// the time for which that one knows it.
@@ -77,7 +79,7 @@
         /// Time for which the read waits for a record, in ms.
         wait_ms: u64,
     },
-    /// Wait for news of another instance until this time in ms.
+    /// Wait for records from another instance until this time in ms.
     Follow {
         /// Time in ms.
         until_ms: u64,
@@ -154,11 +156,11 @@
             state.behind_since_ms = None;
             return TailStep::Follow { until_ms: fresh_until_ms };
         }
-        let news_until_ms = *state.behind_since_ms.get_or_insert(now_ms) + NEWS_WAIT_MS;
-        if now_ms < news_until_ms {
-            return TailStep::Follow { until_ms: news_until_ms };
+        let batch_until_ms = *state.behind_since_ms.get_or_insert(now_ms) + BATCH_WAIT_MS;
+        if now_ms < batch_until_ms {
+            return TailStep::Follow { until_ms: batch_until_ms };
         }
-        // The news were lost.
+        // The batch was lost.
         state.behind_since_ms = None;
         TailStep::ReadOn { offset, wait_ms: 0 }
     }
--- a/lovageridge/src/platform/headers.rs
+++ b/lovageridge/src/platform/headers.rs
@@ -56,6 +56,7 @@
     };
     CallFields {
         id: text(&ATTEMPT_ID).map(str::to_owned),
+        // Without a deadline that can be read the route's time limit holds alone.
         deadline_ms: text(&DEADLINE).and_then(|value| value.trim().parse().ok()),
         model,
         adapter,
@@ -80,6 +81,7 @@
         }
     }
     headers.insert(DEADLINE, HeaderValue::from(send.remaining_ms));
+    // Records whose id is no header value are not taken.
     if let Ok(value) = HeaderValue::from_str(send.worker_id) {
         headers.insert(EXPECT_INSTANCE, value);
     }
@@ -95,6 +97,7 @@
 /// Returns the headers of a call to a worker's own interface.
 pub fn control_headers(worker_id: &str) -> HeaderMap {
     let mut headers = HeaderMap::new();
+    // Records whose id is no header value are not taken.
     if let Ok(value) = HeaderValue::from_str(worker_id) {
         headers.insert(EXPECT_INSTANCE, value);
     }
--- a/lovageridge/src/platform/settings.rs
+++ b/lovageridge/src/platform/settings.rs
@@ -36,8 +36,13 @@
         .ok_or_else(|| Error::field("InternalPorts", "is not two ports such as 7380,7395"))?;
     let seeds = rows.get("Seeds").copied().unwrap_or_default();
     // The port for peers is the same on all machines, so only the address of a seed matters.
-    let seeds = seeds.split(',').filter_map(|seed| seed.trim().parse::<SocketAddr>().ok());
-    let seeds: Vec<SocketAddr> = seeds.map(|seed| SocketAddr::new(seed.ip(), peers_port)).collect();
+    let seeds = seeds.split(',').map(str::trim).filter(|seed| !seed.is_empty());
+    let seeds = seeds
+        .map(|seed| match seed.parse::<SocketAddr>() {
+            Ok(addr) => Ok(SocketAddr::new(addr.ip(), peers_port)),
+            Err(_) => Err(Error::field("Seeds", format!("{seed:?} is no IP and port"))),
+        })
+        .collect::<Result<Vec<_>, _>>()?;
     let builder = GatewaySettingsBuilder::new(
         required::<String>(&rows, "NodeName")?,
         required::<String>(&rows, "Zone")?,
--- a/lovageridge/src/platform/tests.rs
+++ b/lovageridge/src/platform/tests.rs
@@ -34,6 +34,14 @@
     assert_eq!(settings.cpu_permille, 120);
 }
 
+#[test]
+fn a_seed_that_is_no_address_is_named_and_no_seed_is_needed() {
+    let fault = settings::parse(&SETTINGS.replace("127.0.0.2:8144", "edge-2"));
+    assert!(fault.expect_err("a fault").to_string().starts_with("Seeds"));
+    let without = settings::parse(&SETTINGS.replace("127.0.0.1:8144,127.0.0.2:8144", ""));
+    assert!(without.expect("valid settings").seeds.is_empty());
+}
+
 #[test_case("Zone=a\n", "Zone"; "a missing key")]
 #[test_case("Platform.Address=127.0.0.1:8142\n", "Platform.Address"; "no store")]
 #[test_case("InternalPorts=7380,7395\n", "InternalPorts"; "no ports for peers")]
@@ -89,6 +97,12 @@
     assert!(workers::parse("i-1", WORKER.replace(from, to).as_bytes()).is_err());
 }
 
+#[test]
+fn a_worker_whose_id_is_no_header_value_is_not_used() {
+    let error = workers::parse("i-1\r\nx: y", WORKER.as_bytes()).expect_err("a bad id");
+    assert!(error.to_string().starts_with("Id"), "{error}");
+}
+
 #[test]
 fn orders_name_the_expected_count_and_the_fencing_number() {
     let order = Order {
--- a/lovageridge/src/platform/workers.rs
+++ b/lovageridge/src/platform/workers.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use hyper::header::HeaderValue;
 use serde::Deserialize;
 
 use crate::gateway::directory::Loaded;
@@ -78,6 +79,10 @@
 /// # Errors
 /// Returns which field is missing or has no usable value; such a record names no worker to use.
 pub fn parse(id: &str, bytes: &[u8]) -> Result<WorkerRecord, Error> {
+    // Requests and orders name the worker that they are for in a header.
+    if HeaderValue::from_str(id).is_err() {
+        return Err(Error::field("Id", "cannot be sent as a header"));
+    }
     let text: RecordText = serde_json::from_slice(bytes)?;
     let addr: SocketAddr = text
         .address
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -126,4 +126,10 @@
     LOAD_PLANNED = 725 "load_planned";
     /// Another instance reads the store's records for this one, or it reads them itself.
     READER_CHANGED = 726 "reader_changed";
+    /// A message or record could not be encoded and was not sent.
+    ENCODE_FAILED = 727 "encode_failed";
+    /// A datagram could not be received or is no message.
+    DATAGRAM_DROPPED = 728 "datagram_dropped";
+    /// A worker's answer broke off before it was whole.
+    ANSWER_BROKEN = 729 "answer_broken";
 }
--- a/standins/src/engine/generate.rs
+++ b/standins/src/engine/generate.rs
@@ -163,7 +163,7 @@
 }
 
 /// Breaks a stream off: the chunked body ends in the middle of a chunk.
-fn break_off(mut out: Box<dyn Write + Send>) -> io::Result<()> {
+fn break_off(mut out: impl Write) -> io::Result<()> {
     out.write_all(b"ffff\r\ndata: {\"ind")?;
     out.flush()?;
     out.write_all(b"\r\nbroken\r\n")?;
