Claim the lead after a slow read of the log

With a store that takes over 350 ms for an answer, no instance replaced a silent lead: each read the log, found that its read had begun too long ago, and read again. The age of a read now counts from its end.

--- a/lovageridge/src/gateway/lead.rs
+++ b/lovageridge/src/gateway/lead.rs
@@ -80,6 +80,8 @@
     // Time at which the log was first seen to end at that offset; the append was earlier.
     log_end_seen_ms: u64,
     last_record: Option<LeadRecord>,
+    // Time at which the last read began or, once it has succeeded, at which it ended: a claim follows a
+    // recent read, however long that took.
     last_read_ms: Option<u64>,
     // Set while the result of an append is unknown, until a read shows it.
     append_unresolved: bool,
@@ -218,6 +220,7 @@
 
     /// Applies the result of a read.
     pub fn on_read(&mut self, end_offset: u64, records: &[(u64, LeadRecord)], now_ms: u64) {
+        self.last_read_ms = Some(now_ms);
         let predecessor_seen_ms = self.log_end_seen_ms;
         if self.log_end_offset != Some(end_offset) {
             self.log_end_seen_ms = now_ms;
--- a/lovageridge/src/gateway/lead/tests.rs
+++ b/lovageridge/src/gateway/lead/tests.rs
@@ -4,6 +4,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use test_case::test_case;
 
 use crate::gateway::lead::Election;
 use crate::gateway::lead::LeadRecord;
@@ -268,3 +269,32 @@
     }
     assert!(calls <= 10_000 / RENEW_INTERVAL_MS * 2, "{calls} calls in 10 s");
 }
+
+/// Guards against a lead that is not replaced while the store is slow: each instance reads the log again
+/// before it would claim.
+#[test_case(4; "four ms an answer")]
+#[test_case(200; "200 ms an answer")]
+#[test_case(380; "380 ms an answer")]
+#[test_case(480; "480 ms an answer")]
+fn a_silent_lead_is_replaced_however_slow_the_store_is(answer_ms: u64) {
+    let claim =
+        LeadRecord { instance_id: "n0".to_owned(), incarnation: 1, fence: None, released: false };
+    let mut election = Election::new("n1", 1, LEASE_MS, 40);
+    let mut now_ms = 1000;
+    let until_ms = now_ms + RENEWAL_VALID_MS + 2000;
+    while now_ms < until_ms {
+        match election.step(true, None, now_ms) {
+            Step::Idle => {}
+            Step::Read { .. } => {
+                now_ms += answer_ms;
+                election.on_read(1, &[(0, claim.clone())], now_ms);
+            }
+            Step::Append { at_offset, .. } => {
+                assert_eq!(at_offset, 1);
+                return;
+            }
+        }
+        now_ms += 50;
+    }
+    panic!("no claim within {} ms", RENEWAL_VALID_MS + 2000);
+}
