Tell incomplete and endless responses of workers from complete ones

Callers got streams that ended inside an event as complete ones, where a response has neither a length nor chunks or ends with the last chunk; resumable ones were not resumed. Bytes without end on a stream that is not resumable were passed on for ever; interim responses without a final one held a request until its deadline, and reports could fill 8 MiB each.

Cause: the end of the body was taken as the end of the stream, and only buffered events had a bound. The relay now follows the position in the stream, bounds each event, and headers, interim responses and responses to calls are bounded as well.

--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -20,6 +20,7 @@
 use crate::gateway::connection::SendBody;
 use crate::gateway::connection::dial;
 use crate::gateway::connection::error_text;
+use crate::gateway::connection::limit_interim_responses;
 use crate::gateway::eventlog::Severity;
 use crate::gateway::message_fields::ResponseFields;
 use crate::gateway::message_fields::UpstreamFields;
@@ -125,7 +126,7 @@
             }
         },
     };
-    let request = match upstream_request(call, chosen, remaining_ms, last_event_id) {
+    let mut request = match upstream_request(call, chosen, remaining_ms, last_event_id) {
         Ok(request) => request,
         Err(error) => {
             log_send_failed(
@@ -138,10 +139,21 @@
             return SendResult::NotSent;
         }
     };
-    let sending = timeout(millis(timeout_ms), sender.try_send_request(request));
-    let result = match sending.await {
-        Ok(Ok(response)) => Ok(response),
-        Ok(Err(mut error)) => {
+    let interim_exceeded = limit_interim_responses(&mut request);
+    let sending = async {
+        tokio::select! {
+            result = sender.try_send_request(request) => Some(result),
+            () = interim_exceeded => None,
+        }
+    };
+    let result = match timeout(millis(timeout_ms), sending).await {
+        Ok(Some(Ok(response))) => Ok(response),
+        Ok(None) => {
+            let what = "too many interim responses";
+            record_failed(gateway, call, attempts, chosen, "broken", what, "");
+            return SendResult::Unknown { cause: "the worker sent no final response" };
+        }
+        Ok(Some(Err(mut error))) => {
             if error.take_message().is_some() {
                 // The connection had closed before any of the request was written.
                 if !reused {
@@ -152,18 +164,8 @@
             Err(error.into_error())
         }
         Err(_) => {
-            count_send(gateway, call, attempts, chosen, "timeout");
-            log_send_failed(
-                gateway,
-                call,
-                chosen,
-                "no answer",
-                &format!("timed out after {timeout_ms} ms"),
-            );
-            let mut directory = gateway.directory.borrow_mut();
-            if let Some(worker) = directory.get_mut(&chosen.id) {
-                worker.health.on_failure(gateway.now_ms());
-            }
+            let detail = format!("timed out after {timeout_ms} ms");
+            record_failed(gateway, call, attempts, chosen, "timeout", "no answer", &detail);
             return SendResult::TimedOut;
         }
     };
@@ -171,11 +173,8 @@
     let response = match result {
         Ok(response) => response,
         Err(error) => {
-            count_send(gateway, call, attempts, chosen, "broken");
-            if let Some(worker) = gateway.directory.borrow_mut().get_mut(&chosen.id) {
-                worker.health.on_failure(now_ms);
-            }
-            log_send_failed(gateway, call, chosen, "connection broke", &error_text(&error));
+            let (what, detail) = ("connection broke", error_text(&error));
+            record_failed(gateway, call, attempts, chosen, "broken", what, &detail);
             return SendResult::Unknown { cause: "the worker's connection broke" };
         }
     };
@@ -245,6 +244,23 @@
     gateway.metrics.sends_total.with_label_values(&[call.service.as_str(), result]).inc();
 }
 
+/// Records a send that the worker may have executed, but without a usable response.
+fn record_failed(
+    gateway: &Gateway,
+    call: &Call,
+    attempts: &mut Attempts,
+    chosen: &ChosenWorker,
+    result: &'static str,
+    what: &str,
+    detail: &str,
+) {
+    count_send(gateway, call, attempts, chosen, result);
+    if let Some(worker) = gateway.directory.borrow_mut().get_mut(&chosen.id) {
+        worker.health.on_failure(gateway.now_ms());
+    }
+    log_send_failed(gateway, call, chosen, what, detail);
+}
+
 fn log_send_failed(
     gateway: &Gateway,
     call: &Call,
--- a/lovageridge/src/gateway/connection.rs
+++ b/lovageridge/src/gateway/connection.rs
@@ -2,6 +2,9 @@
 
 use std::error::Error as _;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,12 +14,18 @@
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
+use hyper::Response;
+use hyper::body::Body;
+use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use hyper::header::CONTENT_LENGTH;
+use hyper::header::TRANSFER_ENCODING;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 
 /// Body of an outgoing request.
@@ -30,8 +39,15 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
-/// Largest response body that a call accepts, in bytes.
-const RESPONSE_MAX_BYTES: usize = 8 << 20;
+/// Largest response body that a call to the store accepts, in bytes.
+const STORE_RESPONSE_MAX_BYTES: usize = 8 << 20;
+/// Largest response body that a call to a worker accepts, in bytes; many workers are called at the same
+/// time.
+const WORKER_RESPONSE_MAX_BYTES: usize = 256 << 10;
+/// Largest response headers, in bytes.
+const RESPONSE_HEADERS_MAX_BYTES: usize = 64 << 10;
+/// Largest number of interim responses before a final one.
+const INTERIM_RESPONSES_MAX: u32 = 16;
 
 /// Why a call has no usable response.
 #[derive(Debug, thiserror::Error)]
@@ -77,6 +93,7 @@
     };
     tune(&stream).map_err(|error| Error::Connect(error.to_string()))?;
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(RESPONSE_HEADERS_MAX_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|error| Error::Connect(error.to_string()))?;
@@ -87,6 +104,26 @@
     Ok(sender)
 }
 
+/// Bounds the interim responses to a request; the returned future completes when there are too many.
+pub fn limit_interim_responses<B>(request: &mut Request<B>) -> impl Future<Output = ()> + use<B> {
+    let exceeded = Arc::new(Notify::new());
+    let (notify, received) = (Arc::clone(&exceeded), AtomicU32::new(0));
+    hyper::ext::on_informational(request, move |_| {
+        if received.fetch_add(1, Ordering::Relaxed) >= INTERIM_RESPONSES_MAX {
+            notify.notify_one();
+        }
+    });
+    async move { exceeded.notified().await }
+}
+
+/// Returns whether a response has a length or chunks, so that its end differs from that of a connection that
+/// breaks.
+pub fn is_framed(response: &Response<Incoming>) -> bool {
+    let names = [CONTENT_LENGTH, TRANSFER_ENCODING];
+    response.body().is_end_stream()
+        || names.iter().any(|name| response.headers().contains_key(name))
+}
+
 /// Sets the socket options that close a connection whose peer stops responding.
 pub fn tune(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
@@ -103,13 +140,19 @@
 #[derive(Debug)]
 pub struct HttpClient {
     addr: SocketAddr,
+    response_max_bytes: usize,
     sender: Option<SendRequest<SendBody>>,
 }
 
 impl HttpClient {
-    /// Returns a client that connects at its first call.
+    /// Returns a client for the store that connects at its first call.
     pub fn new(addr: SocketAddr) -> Self {
-        Self { addr, sender: None }
+        Self { addr, response_max_bytes: STORE_RESPONSE_MAX_BYTES, sender: None }
+    }
+
+    /// Returns a client for a worker that connects at its first call.
+    pub fn for_worker(addr: SocketAddr) -> Self {
+        Self { response_max_bytes: WORKER_RESPONSE_MAX_BYTES, ..Self::new(addr) }
     }
 
     /// Changes the address; a connection to the previous one is closed.
@@ -138,8 +181,9 @@
         body: Bytes,
         call_timeout: Duration,
     ) -> Result<CallResponse, Error> {
+        let request = build_request(self.addr, method, path, headers, body)?;
         let reused = self.sender.take();
-        let calling = exchange(self.addr, reused, method, path, headers, body, call_timeout);
+        let calling = exchange(self.addr, reused, request, self.response_max_bytes, call_timeout);
         let (response, sender) = match timeout(call_timeout, calling).await {
             Ok(result) => result?,
             Err(_) => return Err(Error::NoAnswer("timed out".to_owned())),
@@ -149,19 +193,13 @@
     }
 }
 
-async fn exchange(
+fn build_request(
     addr: SocketAddr,
-    reused: Option<SendRequest<SendBody>>,
     method: Method,
     path: &str,
     headers: HeaderMap,
     body: Bytes,
-    call_timeout: Duration,
-) -> Result<(CallResponse, SendRequest<SendBody>), Error> {
-    let mut sender = match reused {
-        Some(sender) if sender.is_ready() => sender,
-        _ => dial(addr, call_timeout).await?,
-    };
+) -> Result<Request<SendBody>, Error> {
     let mut request = Request::new(Full::new(body));
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().map_err(|_| Error::Connect(format!("path {path:?}")))?;
@@ -169,10 +207,30 @@
     let host = hyper::header::HeaderValue::from_str(&addr.to_string())
         .map_err(|error| Error::Connect(error.to_string()))?;
     request.headers_mut().insert(hyper::header::HOST, host);
+    Ok(request)
+}
+
+async fn exchange(
+    addr: SocketAddr,
+    reused: Option<SendRequest<SendBody>>,
+    mut request: Request<SendBody>,
+    response_max_bytes: usize,
+    call_timeout: Duration,
+) -> Result<(CallResponse, SendRequest<SendBody>), Error> {
+    let mut sender = match reused {
+        Some(sender) if sender.is_ready() => sender,
+        _ => dial(addr, call_timeout).await?,
+    };
+    let interim_exceeded = limit_interim_responses(&mut request);
     let no_answer = |error: hyper::Error| Error::NoAnswer(error.to_string());
-    let response = sender.send_request(request).await.map_err(no_answer)?;
+    let response = tokio::select! {
+        response = sender.send_request(request) => response.map_err(no_answer)?,
+        () = interim_exceeded => {
+            return Err(Error::NoAnswer("too many interim responses".to_owned()));
+        }
+    };
     let status_code = response.status().as_u16();
-    let body = Limited::new(response.into_body(), RESPONSE_MAX_BYTES).collect().await;
+    let body = Limited::new(response.into_body(), response_max_bytes).collect().await;
     let body = body.map_err(|error| Error::NoAnswer(error.to_string()))?.to_bytes();
     Ok((CallResponse { status_code, body }, sender))
 }
--- a/lovageridge/src/gateway/fleet/driver.rs
+++ b/lovageridge/src/gateway/fleet/driver.rs
@@ -182,7 +182,7 @@
         .as_ref()
         .and_then(|fleet| fleet.worker(&worker).map(|state| (state.addr, fleet.fence())));
     let Some((addr, fence)) = target else { return };
-    let mut client = HttpClient::new(addr);
+    let mut client = HttpClient::for_worker(addr);
     let headers = headers::control_headers(&worker);
     match call {
         Call::Report => {
--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -25,16 +25,20 @@
 use crate::gateway::response::StreamInterrupted;
 use crate::telemetry::events;
 
+pub mod boundary;
+
 #[cfg(test)]
 mod tests;
 
+use crate::gateway::relay::boundary::EventBoundary;
+
 /// Shortest time without data after which a resumable stream moves to another worker, in ms;
 /// callers disconnect after two seconds.
 const STALL_TIMEOUT_MIN_MS: u64 = 1200;
 /// Multiple of the route's gap objective that is used instead if it is longer.
 const STALL_TIMEOUT_GAPS: u64 = 5;
-/// Largest incomplete event that is buffered, in bytes.
-const EVENT_MAX_BYTES: usize = 1 << 20;
+/// Largest event, in bytes; many incomplete ones are buffered at the same time.
+const EVENT_MAX_BYTES: usize = 64 << 10;
 
 /// Splits a stream into complete events and records the id of the last one forwarded.
 #[derive(Clone, Debug, Default)]
@@ -74,11 +78,6 @@
     pub fn finish(&mut self) -> Bytes {
         self.buffer.split().freeze()
     }
-
-    /// Tells whether an incomplete event exceeds `EVENT_MAX_BYTES`.
-    pub fn is_over_limit(&self) -> bool {
-        self.buffer.len() > EVENT_MAX_BYTES
-    }
 }
 
 /// Returns the offset after the first blank line.
@@ -108,6 +107,11 @@
     outcome: ResponseFields,
     sender: hyper::client::conn::http1::SendRequest<connection::SendBody>,
     in_flight: InFlight,
+    // Number of reads that returned data.
+    reads: u64,
+    boundary: EventBoundary,
+    // Whether the response has a length or chunks, so that its end is known.
+    is_framed: bool,
 }
 
 /// A stream that is relayed to a caller, resumed on other workers if necessary.
@@ -144,6 +148,7 @@
 enum SourceRead {
     Data(Bytes),
     End,
+    CutOff,
     Interrupted(hyper::Error),
     Stalled,
     DeadlinePassed,
@@ -175,20 +180,29 @@
             let Some(source) = &mut self.source else { return (None, self) };
             let read = source.read(&self.gateway, &self.call, self.resumable).await;
             match read {
+                SourceRead::Data(_) if source.upstream.boundary.event_bytes() > EVENT_MAX_BYTES => {
+                    let cause = "an event is too large";
+                    if !self.fail_over(cause, "").await {
+                        return self.abort(cause);
+                    }
+                }
                 SourceRead::Data(bytes) if !self.resumable => {
                     self.record_delivery();
                     return (Some(Ok(bytes)), self);
                 }
                 SourceRead::Data(bytes) => {
                     let events = self.splitter.push(&bytes);
-                    if self.splitter.is_over_limit() {
-                        return self.abort("an event is too large");
-                    }
                     if !events.is_empty() {
                         self.record_delivery();
                         return (Some(Ok(events)), self);
                     }
                 }
+                SourceRead::CutOff => {
+                    let cause = "the stream ended too early";
+                    if !self.fail_over(cause, "").await {
+                        return self.abort(cause);
+                    }
+                }
                 SourceRead::End => {
                     let rest = self.splitter.finish();
                     self.finish();
@@ -221,7 +235,7 @@
 
     fn finish(&mut self) {
         let Some(source) = self.source.take() else { return };
-        let Upstream { outcome, sender, in_flight } = source.upstream;
+        let Upstream { outcome, sender, in_flight, is_framed, .. } = source.upstream;
         attempt::return_connection(&self.gateway, &in_flight.worker_id, sender, &outcome);
         let first_ms = self.delivery.first_ms.unwrap_or(self.call.arrived_ms);
         let line = self.gateway.log.line(events::STREAM_ENDED, Severity::Routine);
@@ -234,6 +248,7 @@
             .number("gap_objective_ms", self.call.route.gap_objective_ms)
             .number("total_ms", self.gateway.now_ms() - self.call.arrived_ms)
             .number("sends", self.attempts.sends)
+            .text("framed", is_framed)
             .emit();
     }
 
@@ -306,8 +321,26 @@
 impl Source {
     fn new(incoming: IncomingResponse) -> Self {
         let IncomingResponse { response, outcome, sender, in_flight } = incoming;
+        let is_framed = connection::is_framed(&response);
         let body = response.into_body();
-        Self { body, upstream: Upstream { outcome, sender, in_flight } }
+        Self {
+            body,
+            upstream: Upstream {
+                outcome,
+                sender,
+                in_flight,
+                reads: 0,
+                boundary: EventBoundary::default(),
+                is_framed,
+            },
+        }
+    }
+
+    /// Returns whether a response whose body has ended is not complete: it ends inside an event, or
+    /// nothing marks its end and it has no events.
+    fn is_cut_off(&self) -> bool {
+        let Upstream { boundary, is_framed, reads, .. } = &self.upstream;
+        boundary.is_inside_event() || (!is_framed && *reads == 0)
     }
 
     async fn read(&mut self, gateway: &Gateway, call: &Call, resumable: bool) -> SourceRead {
@@ -323,10 +356,15 @@
             let frame = timeout(Duration::from_millis(timeout_ms), self.body.frame()).await;
             match frame {
                 Ok(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(data) if !data.is_empty() => return SourceRead::Data(data),
+                    Ok(data) if !data.is_empty() => {
+                        self.upstream.reads += 1;
+                        self.upstream.boundary.push(&data);
+                        return SourceRead::Data(data);
+                    }
                     _ => {}
                 },
                 Ok(Some(Err(error))) => return SourceRead::Interrupted(error),
+                Ok(None) if self.is_cut_off() => return SourceRead::CutOff,
                 Ok(None) => return SourceRead::End,
                 Err(_) if timeout_ms == remaining_ms => return SourceRead::DeadlinePassed,
                 Err(_) => return SourceRead::Stalled,
--- a/lovageridge/src/gateway/relay/tests.rs
+++ b/lovageridge/src/gateway/relay/tests.rs
@@ -3,6 +3,7 @@
 use test_case::test_case;
 
 use crate::gateway::relay::EventSplitter;
+use crate::gateway::relay::boundary::EventBoundary;
 
 fn event(id: u64) -> String {
     format!("id: {id}\ndata: token {id}\n\n")
@@ -45,3 +46,19 @@
     assert_eq!(&events[..], b"id: 1\r\ndata: a\r\n\r\n");
     assert_eq!(&splitter.finish()[..], b": comment without end");
 }
+
+#[test_case("", false; "nothing")]
+#[test_case("id: 1\ndata: a\n\n", false; "a whole event")]
+#[test_case("id: 1\r\ndata: a\r\n\r\n", false; "a whole event with carriage returns")]
+#[test_case("data: a\n\n: comment", false; "a comment without end")]
+#[test_case("data: a\n\nda", true; "part of a line")]
+#[test_case("data: a\n\nid: 2\n", true; "a whole line")]
+#[test_case("data: a\n\nid: 2\n: comment\n", true; "a comment within an event")]
+#[test_case("data: a\n", true; "no blank line")]
+fn the_end_of_a_stream_is_inside_an_event_or_not(text: &str, expected: bool) {
+    for chunk_bytes in [1, 3, 100] {
+        let mut boundary = EventBoundary::default();
+        text.as_bytes().chunks(chunk_bytes).for_each(|piece| boundary.push(piece));
+        assert_eq!(boundary.is_inside_event(), expected, "{chunk_bytes} bytes at a time");
+    }
+}
--- a/lovageridge/tests/gateway.rs
+++ b/lovageridge/tests/gateway.rs
@@ -2,6 +2,8 @@
 
 #[path = "gateway/faults.rs"]
 mod faults;
+#[path = "gateway/framing.rs"]
+mod framing;
 #[path = "gateway/hostile.rs"]
 mod hostile;
 #[path = "gateway/lead.rs"]
--- /dev/null
+++ b/lovageridge/tests/gateway/framing.rs
@@ -0,0 +1,166 @@
+//! Tests of responses of workers without length and chunks, and of those without end.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use standins::platform::caller::CallerRequest;
+use standins::platform::deployment::Deployment;
+use standins::platform::deployment::engine_worker;
+use standins::platform::deployment::plain_worker;
+use standins::platform::worker::Behavior;
+use standins::platform::worker::Endless;
+use standins::platform::worker::WorkerSpec;
+use test_case::test_case;
+
+use crate::deployment;
+use crate::events;
+
+/// Largest memory of an instance in known deployments, in KiB.
+const MEMORY_MAX_KIB: u64 = 160 * 1024;
+
+/// A model worker with this behavior in the instance's domain, which is tried first, and a sound one.
+fn engines(behavior: Behavior) -> Deployment {
+    let elsewhere = WorkerSpec { domain: "b".to_owned(), ..engine_worker(&["m0"]) };
+    let deployment = deployment(vec![("e0", engine_worker(&["m0"])), ("e1", elsewhere)], 1);
+    deployment.worker("e0").set_behavior(behavior);
+    deployment
+}
+
+/// The same with plain workers.
+fn services(behavior: Behavior) -> Deployment {
+    let elsewhere = WorkerSpec { domain: "b".to_owned(), ..plain_worker(5) };
+    let deployment = deployment(vec![("p0", plain_worker(5)), ("p1", elsewhere)], 1);
+    deployment.worker("p0").set_behavior(behavior);
+    deployment
+}
+
+#[test]
+fn a_response_that_ends_with_its_connection_is_complete() {
+    let deployment = services(Behavior::Unframed);
+    let to = deployment.instances[0].callers_addr;
+    let reply = CallerRequest::post("/book/1", "id1").send(to).expect("a response");
+    assert_eq!((reply.status_code, reply.complete), (200, true));
+    assert_eq!(reply.body, "POST /book/1 by p0");
+    deployment.close();
+}
+
+#[test_case("/stream/once/1"; "that is not resumable")]
+#[test_case("/stream/again/1"; "that is resumable")]
+fn a_stream_that_ends_with_its_connection_is_complete(path: &str) {
+    let deployment = engines(Behavior::Unframed);
+    let ask = CallerRequest::post(path, "id1").for_model("m0");
+    let reply = ask.send(deployment.instances[0].callers_addr).expect("a response");
+    assert!(reply.complete);
+    assert_eq!(reply.body, events(10));
+    assert_eq!(deployment.worker("e1").requests(), 0);
+    deployment.close();
+}
+
+/// Guards against streams that end inside an event and are passed on as complete ones.
+#[test_case(Behavior::UnframedInterruptAfter(0); "before the first event")]
+#[test_case(Behavior::UnframedInterruptAfter(4); "with the connection")]
+#[test_case(Behavior::ChunkedInterruptAfter(4); "with the last chunk")]
+fn a_stream_that_ends_inside_an_event_is_not_complete(behavior: Behavior) {
+    let deployment = engines(behavior);
+    let ask = CallerRequest::post("/stream/once/1", "id1").for_model("m0");
+    let reply = ask.send(deployment.instances[0].callers_addr).expect("response headers");
+    assert!(!reply.complete, "{:?}", reply.body);
+    deployment.close();
+}
+
+/// Guards against resumable streams that end inside an event and are not resumed.
+#[test_case(Behavior::UnframedInterruptAfter(0); "before the first event")]
+#[test_case(Behavior::UnframedInterruptAfter(4); "with the connection")]
+#[test_case(Behavior::ChunkedInterruptAfter(4); "with the last chunk")]
+fn a_resumable_stream_that_ends_inside_an_event_is_resumed(behavior: Behavior) {
+    let deployment = engines(behavior);
+    let ask = CallerRequest::post("/stream/again/1", "id1").for_model("m0");
+    let reply = ask.send(deployment.instances[0].callers_addr).expect("a response");
+    assert!(reply.complete);
+    assert_eq!(reply.body, events(10));
+    deployment.close();
+}
+
+fn assert_memory_bounded(deployment: &Deployment) {
+    let (rss_kib, _) = deployment.instances[0].process.usage().expect("a running process");
+    assert!(rss_kib < MEMORY_MAX_KIB, "{rss_kib} KiB");
+}
+
+/// Guards against requests that hang on a worker whose response has no end, or fail with it.
+#[test_case(Endless::Header; "header")]
+#[test_case(Endless::InterimResponses; "interim responses")]
+#[test_case(Endless::Body; "body")]
+#[test_case(Endless::UnframedBody; "body without length and chunks")]
+fn an_idempotent_request_with_a_response_without_end_is_served_elsewhere(place: Endless) {
+    let deployment = services(Behavior::Endless(place));
+    let to = deployment.instances[0].callers_addr;
+    let started = Instant::now();
+    let reply = CallerRequest::get("/look/1", "id1").send(to).expect("a response");
+    assert_eq!((reply.status_code, reply.body.as_str()), (200, "GET /look/1 by p1"));
+    // Well before the latency objective, 300 ms, has passed twice.
+    assert!(started.elapsed() < Duration::from_millis(600), "{:?}", started.elapsed());
+    assert_memory_bounded(&deployment);
+    deployment.close();
+}
+
+/// Guards against non-idempotent requests that hang until their deadline on a response without end.
+#[test_case(Endless::Header; "header")]
+#[test_case(Endless::InterimResponses; "interim responses")]
+#[test_case(Endless::Body; "body")]
+#[test_case(Endless::UnframedBody; "body without length and chunks")]
+fn a_non_idempotent_request_with_a_response_without_end_fails_at_once(place: Endless) {
+    let deployment = services(Behavior::Endless(place));
+    let to = deployment.instances[0].callers_addr;
+    let started = Instant::now();
+    let reply = CallerRequest::post("/book/1", "id1").send(to).expect("a response");
+    assert_eq!(reply.status_code, 502);
+    assert!(started.elapsed() < Duration::from_millis(2000), "{:?}", started.elapsed());
+    assert_eq!(deployment.worker("p1").requests(), 0);
+    assert_memory_bounded(&deployment);
+    deployment.close();
+}
+
+/// Guards against streams of bytes without end that fill the memory or reach the caller.
+#[test_case("/stream/once/1", Endless::Header, false; "header")]
+#[test_case("/stream/once/1", Endless::Body, false; "event")]
+#[test_case("/stream/once/1", Endless::UnframedBody, false; "event without chunks")]
+#[test_case("/stream/again/1", Endless::Header, true; "header of a resumable stream")]
+#[test_case("/stream/again/1", Endless::Body, true; "event of a resumable stream")]
+#[test_case("/stream/again/1", Endless::UnframedBody, true; "event of a resumable stream without chunks")]
+fn a_stream_without_end_is_cut_or_resumed(path: &str, place: Endless, resumed: bool) {
+    let deployment = engines(Behavior::Endless(place));
+    let ask = CallerRequest::post(path, "id1").for_model("m0");
+    let started = Instant::now();
+    let reply = ask.send(deployment.instances[0].callers_addr).expect("a response");
+    assert!(started.elapsed() < Duration::from_millis(3000), "{:?}", started.elapsed());
+    if resumed {
+        assert_eq!((reply.complete, reply.body), (true, events(10)));
+    } else {
+        assert!(reply.status_code == 502 || !reply.complete);
+        assert!(reply.body.len() < 256 * 1024, "{} bytes", reply.body.len());
+    }
+    assert_memory_bounded(&deployment);
+    deployment.close();
+}
+
+/// Guards against many responses without end at once that exceed the memory of an instance.
+#[test]
+fn many_responses_without_end_stay_within_the_memory() {
+    let deployment = services(Behavior::Endless(Endless::Body));
+    let to = deployment.instances[0].callers_addr;
+    std::thread::scope(|scope| {
+        for number in 0..60 {
+            scope.spawn(move || {
+                let ask = CallerRequest::post("/book/1", &format!("id{number}"));
+                let status_code = ask.send(to).expect("a response").status_code;
+                // The sound worker serves some of them.
+                assert!([200, 502].contains(&status_code), "{status_code}");
+            });
+        }
+        for _ in 0..20 {
+            assert_memory_bounded(&deployment);
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    });
+    deployment.close();
+}
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -23,6 +23,9 @@
 /// Pause between checks whether the caller is still connected.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Bytes that are written at once in a response without end.
+const ENDLESS_WRITE_BYTES: usize = 8192;
+
 /// How the worker responds to requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Behavior {
@@ -44,6 +47,27 @@
     WrongId,
     /// Responds without its receipt.
     MissingReceipt,
+    /// Responds with neither a length nor chunks; the connection ends the body.
+    Unframed,
+    /// The same, but ends a stream in the middle of the event after this many.
+    UnframedInterruptAfter(u64),
+    /// Ends a stream in the middle of the event after this many, with the last chunk.
+    ChunkedInterruptAfter(u64),
+    /// Sends bytes without end until the caller disconnects.
+    Endless(Endless),
+}
+
+/// Where the bytes without end are in a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Endless {
+    /// In the value of a header.
+    Header,
+    /// Interim responses without a final one.
+    InterimResponses,
+    /// In the body, which for a stream is a single event.
+    Body,
+    /// The same, with neither a length nor chunks.
+    UnframedBody,
 }
 
 /// A request that the worker ran.
@@ -93,6 +117,7 @@
 #[derive(Default)]
 struct State {
     behavior: Option<Behavior>,
+    born_ms: u64,
     resident_models: Vec<String>,
     busy_until: Option<Instant>,
     loading_model: Option<String>,
@@ -107,7 +132,6 @@
 
 struct Shared {
     id: String,
-    born_ms: u64,
     spec: WorkerSpec,
     state: Mutex<State>,
 }
@@ -124,13 +148,12 @@
     /// # Errors
     /// Fails when it cannot listen on a free port.
     pub fn start(id: &str, spec: WorkerSpec) -> Result<Self, anyhow::Error> {
-        let state = State { resident_models: spec.models.clone(), ..State::default() };
-        let shared = Arc::new(Shared {
-            id: id.to_owned(),
+        let state = State {
+            resident_models: spec.models.clone(),
             born_ms: lovageridge::clock::unix_ms(),
-            spec,
-            state: Mutex::new(state),
-        });
+            ..State::default()
+        };
+        let shared = Arc::new(Shared { id: id.to_owned(), spec, state: Mutex::new(state) });
         let handler_state = Arc::clone(&shared);
         let listener =
             Listener::start(move |stream, request| handler_state.handle_request(stream, request))?;
@@ -195,7 +218,7 @@
             "Service": spec.service, "Address": addr.to_string(), "Zone": spec.domain,
             "Version": "v1", "Slots": 8, "State": state, "ColdLeftMs": 0, "Stage": "colocated",
             "Models": resident, "AtHand": {"InMemory": [], "OnDisk": spec.on_disk}, "Seq": 1,
-            "born": self.shared.born_ms,
+            "born": self.shared.lock().born_ms,
         });
         record.to_string().into_bytes()
     }
@@ -304,10 +327,18 @@
         if behavior == Behavior::Reset {
             return Some(false);
         }
+        if let Behavior::Endless(place) = behavior {
+            return self.respond_endless(stream, request, place);
+        }
         let failing = behavior == Behavior::ServerError;
         let status = if failing { "500 Internal Server Error" } else { "200 OK" };
         let body = format!("{} {} by {}", request.method, request.path, self.id);
         let start = self.response_head(request, status, behavior);
+        if behavior == Behavior::Unframed {
+            // Errors mean that the caller has left.
+            let _ = stream.write_all(format!("{start}\r\n{body}").as_bytes());
+            return Some(false);
+        }
         let text = format!("{start}Content-Length: {}\r\n\r\n{body}", body.len());
         let copies = if behavior == Behavior::DuplicateResponse { 2 } else { 1 };
         Some(stream.write_all(text.repeat(copies).as_bytes()).is_ok())
@@ -324,9 +355,14 @@
         if behavior == Behavior::Unresponsive {
             return wait_for_disconnect(stream);
         }
+        if let Behavior::Endless(place) = behavior {
+            return self.respond_endless(stream, request, place);
+        }
+        let unframed = matches!(behavior, Behavior::Unframed | Behavior::UnframedInterruptAfter(_));
+        let chunk = |text: &str| if unframed { text.to_owned() } else { chunk(text) };
         let start = self.response_head(request, "200 OK", behavior);
-        let text =
-            format!("{start}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let framing = if unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
+        let text = format!("{start}Content-Type: text/event-stream\r\n{framing}\r\n");
         stream.write_all(text.as_bytes()).ok()?;
         let after: u64 =
             request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
@@ -341,12 +377,47 @@
                 stream.write_all(chunk(part).as_bytes()).ok()?;
                 return Some(false);
             }
+            if behavior == Behavior::UnframedInterruptAfter(id - 1) {
+                stream.write_all(&event.as_bytes()[..event.len() / 2]).ok()?;
+                return Some(false);
+            }
+            if behavior == Behavior::ChunkedInterruptAfter(id - 1) {
+                let text = format!("{}0\r\n\r\n", chunk(&event[..event.len() / 2]));
+                stream.write_all(text.as_bytes()).ok()?;
+                return Some(true);
+            }
             stream.write_all(chunk(&event).as_bytes()).ok()?;
         }
+        if unframed {
+            return Some(false);
+        }
         stream.write_all(b"0\r\n\r\n").ok()?;
         Some(true)
     }
 
+    /// Sends bytes without end; returns `None` once the caller has disconnected.
+    fn respond_endless(
+        &self,
+        stream: &mut TcpStream,
+        request: &Request,
+        place: Endless,
+    ) -> Option<bool> {
+        let start = self.response_head(request, "200 OK", Behavior::Normal);
+        let filler = "x".repeat(ENDLESS_WRITE_BYTES);
+        let chunk = format!("{:x}\r\n{filler}\r\n", filler.len());
+        let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(200);
+        let (head, more) = match place {
+            Endless::Header => (format!("{start}X-Long: "), filler),
+            Endless::InterimResponses => (interim.clone(), interim),
+            Endless::Body => (format!("{start}Transfer-Encoding: chunked\r\n\r\n"), chunk),
+            Endless::UnframedBody => (format!("{start}\r\n"), filler),
+        };
+        stream.write_all(head.as_bytes()).ok()?;
+        loop {
+            stream.write_all(more.as_bytes()).ok()?;
+        }
+    }
+
     fn respond_refused(&self, stream: &mut TcpStream, request: &Request, status: &str) -> bool {
         let id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
         let text = format!(
@@ -366,7 +437,7 @@
         let body = json!({
             "Stage": "colocated", "Models": models, "Busy": state.busy_until.is_some(),
             "Seq": state.orders_accepted, "Waiting": 0, "Running": 0, "Handles": 0,
-            "AtHand": {"InMemory": [], "OnDisk": self.spec.on_disk}, "born": self.born_ms,
+            "AtHand": {"InMemory": [], "OnDisk": self.spec.on_disk}, "born": state.born_ms,
         });
         drop(state);
         write_response(stream, "200 OK", body.to_string().as_bytes())
