Log prompt parts, age and reads of broken streams

stream_broken and send_failed named request and worker only, so that crashes could not be related to what was running. They now tell the shared parts of the prompt, how long the response had been running and how often it had brought data, and gateway_streams_broken_total counts by cause.

--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -24,6 +24,7 @@
 use crate::gateway::eventlog::Severity;
 use crate::gateway::message_fields::ResponseFields;
 use crate::gateway::message_fields::UpstreamFields;
+use crate::gateway::message_fields::part_list;
 use crate::platform::headers;
 use crate::telemetry::events;
 
@@ -277,6 +278,7 @@
         .number("load", chosen.load)
         .text("what", what)
         .text("detail", detail)
+        .text("prompt_parts", part_list(&call.fields.prompt_parts))
         .emit();
 }
 
--- a/lovageridge/src/gateway/message_fields.rs
+++ b/lovageridge/src/gateway/message_fields.rs
@@ -1,6 +1,12 @@
 //! Header fields of requests and responses that the gateway uses, independent of the platform's
 //! header names.
 
+use std::fmt::Display;
+use std::fmt::Formatter;
+
+use serde::Deserialize;
+use serde::Serialize;
+
 /// Fields of a caller's request.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RequestFields {
@@ -14,6 +20,23 @@
     pub adapter: Option<String>,
     /// Id of the last event received, when the caller resumes a stream.
     pub last_event_id: Option<String>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub prompt_parts: Vec<PromptPart>,
+}
+
+/// Hash of the id of a part of a prompt.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct PromptPart(pub u64);
+
+impl Display for PromptPart {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+/// Returns prompt parts as a comma-separated list, for log lines.
+pub fn part_list(parts: &[PromptPart]) -> String {
+    parts.iter().map(PromptPart::to_string).collect::<Vec<_>>().join(",")
 }
 
 /// Fields that the gateway adds to a request to an upstream.
--- a/lovageridge/src/gateway/metrics.rs
+++ b/lovageridge/src/gateway/metrics.rs
@@ -23,6 +23,8 @@
     pub first_byte_s: HistogramVec,
     /// Attempts at upstreams by service and result.
     pub sends_total: IntCounterVec,
+    /// Streams that an upstream did not end properly, by service and cause.
+    pub streams_broken_total: IntCounterVec,
     /// Retries refused by the retry budget, by service.
     pub budget_refused_total: IntCounterVec,
     /// Time that requests waited for a model that no worker held, by route, in seconds.
@@ -95,6 +97,11 @@
                 "Sends to upstreams",
                 &["service", "result"],
             )?,
+            streams_broken_total: counters(
+                "gateway_streams_broken_total",
+                "Streams that an upstream did not end properly",
+                &["service", "cause"],
+            )?,
             budget_refused_total: counters(
                 "gateway_budget_refused_total",
                 "Repeated sends refused by the budget",
--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -22,6 +22,7 @@
 use crate::gateway::connection;
 use crate::gateway::eventlog::Severity;
 use crate::gateway::message_fields::ResponseFields;
+use crate::gateway::message_fields::part_list;
 use crate::gateway::response::StreamInterrupted;
 use crate::telemetry::events;
 
@@ -107,6 +108,8 @@
     outcome: ResponseFields,
     sender: hyper::client::conn::http1::SendRequest<connection::SendBody>,
     in_flight: InFlight,
+    // Monotonic time at which the response headers arrived, in ms.
+    started_ms: u64,
     // Number of reads that returned data.
     reads: u64,
     boundary: EventBoundary,
@@ -166,7 +169,7 @@
             gateway: Rc::clone(gateway),
             call: Rc::clone(call),
             attempts,
-            source: Some(Source::new(incoming)),
+            source: Some(Source::new(incoming, gateway.now_ms())),
             splitter: EventSplitter::default(),
             resumable: call.route.kind == RouteKind::Stream { resumable: true },
             delivered: false,
@@ -267,7 +270,13 @@
             .number("after_ms", self.gateway.now_ms() - self.call.arrived_ms)
             .number("last_event", self.splitter.last_id().map_or(-1, i128::from))
             .text("resumable", self.resumable)
+            .number("response_age_ms", self.gateway.now_ms() - source.upstream.started_ms)
+            .number("reads", source.upstream.reads)
+            .text("framed", source.upstream.is_framed)
+            .text("prompt_parts", part_list(&self.call.fields.prompt_parts))
             .emit();
+        let labels = [self.call.service.as_str(), cause];
+        self.gateway.metrics.streams_broken_total.with_label_values(&labels).inc();
     }
 
     /// Drops the worker's response and resumes on another worker; returns whether that succeeded.
@@ -297,7 +306,7 @@
                     .text("worker", &incoming.in_flight.worker_id)
                     .text("last_event", last_event_id.unwrap_or_default())
                     .emit();
-                self.source = Some(Source::new(incoming));
+                self.source = Some(Source::new(incoming, self.gateway.now_ms()));
                 true
             }
             None => false,
@@ -319,7 +328,7 @@
 }
 
 impl Source {
-    fn new(incoming: IncomingResponse) -> Self {
+    fn new(incoming: IncomingResponse, started_ms: u64) -> Self {
         let IncomingResponse { response, outcome, sender, in_flight } = incoming;
         let is_framed = connection::is_framed(&response);
         let body = response.into_body();
@@ -329,6 +338,7 @@
                 outcome,
                 sender,
                 in_flight,
+                started_ms,
                 reads: 0,
                 boundary: EventBoundary::default(),
                 is_framed,
--- a/lovageridge/src/platform/headers.rs
+++ b/lovageridge/src/platform/headers.rs
@@ -4,21 +4,27 @@
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
 
+use crate::gateway::message_fields::PromptPart;
 use crate::gateway::message_fields::ReportedLoad;
 use crate::gateway::message_fields::RequestFields;
 use crate::gateway::message_fields::ResponseFields;
 use crate::gateway::message_fields::UpstreamFields;
+use crate::hashing;
 
 const ATTEMPT_ID: HeaderName = HeaderName::from_static("x-lovageridge-attempt-id");
 const DEADLINE: HeaderName = HeaderName::from_static("x-lovageridge-deadline-ms");
 const MODEL: HeaderName = HeaderName::from_static("x-lovageridge-model");
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-lovageridge-expect-instance");
 const URGENCY: HeaderName = HeaderName::from_static("x-lovageridge-request-urgency");
+const PROMPT_PREFIX: HeaderName = HeaderName::from_static("x-lovageridge-prompt-prefix");
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-lovageridge-not-executed");
 const RECEIPT: HeaderName = HeaderName::from_static("x-lovageridge-server-seal");
 const LOAD: HeaderName = HeaderName::from_static("x-lovageridge-server-load");
 
+/// Largest number of prompt parts that are used; longer lists are cut.
+const PROMPT_PARTS_MAX: usize = 64;
+
 /// Hop-by-hop headers, which apply to one connection only and are not forwarded.
 const HOP_BY_HOP: [&str; 8] = [
     "connection",
@@ -61,9 +67,19 @@
         model,
         adapter,
         last_event_id: text(&LAST_EVENT).map(str::to_owned),
+        prompt_parts: text(&PROMPT_PREFIX).map(parse_shared_parts).unwrap_or_default(),
     }
 }
 
+/// Parses a list of `ID:TOKENS` pairs; the last one is left out, since it belongs to the request or
+/// its session.
+fn parse_shared_parts(text: &str) -> Vec<PromptPart> {
+    let Some((shared, _)) = text.rsplit_once(',') else { return Vec::new() };
+    let ids = shared.split(',').map(|pair| pair.split(':').next().unwrap_or("").trim());
+    let ids = ids.filter(|id| !id.is_empty()).take(PROMPT_PARTS_MAX);
+    ids.map(|id| PromptPart(hashing::stable_hash(&[&id.to_ascii_lowercase()]))).collect()
+}
+
 /// Returns the headers of the request to an upstream: the caller's, without hop-by-hop and reserved
 /// ones, and those of `fields`.
 pub fn upstream_headers(caller: &HeaderMap, fields: &UpstreamFields<'_>) -> HeaderMap {
--- a/lovageridge/src/platform/tests.rs
+++ b/lovageridge/src/platform/tests.rs
@@ -199,3 +199,14 @@
         assert!(truncated.is_err() || len == 16 || len == 24, "truncated to {len} bytes");
     }
 }
+
+#[test_case("a:1,b:2,c:3", 2; "the last part is left out")]
+#[test_case("a:1", 0; "one part")]
+#[test_case("", 0; "nothing")]
+#[test_case(",,:,x:1", 0; "empty ids")]
+fn shared_parts_of_a_prompt_are_parsed(text: &str, expected: usize) {
+    let mut headers = HeaderMap::new();
+    let value = HeaderValue::from_str(text).expect("a header value");
+    headers.insert("x-lovageridge-prompt-prefix", value);
+    assert_eq!(headers::parse_request(&headers).prompt_parts.len(), expected);
+}
