--- a/standins/src/platform/caller.rs
+++ b/standins/src/platform/caller.rs
@@ -51,6 +51,13 @@
         self
     }
 
+    /// Adds the header with the parts of the prompt.
+    pub fn with_prompt(mut self, parts: &[&str]) -> Self {
+        let pairs: Vec<String> = parts.iter().map(|id| format!("{id}:100")).collect();
+        self.headers.push_str(&format!("X-Lovageridge-Prompt-Prefix: {}\r\n", pairs.join(",")));
+        self
+    }
+
     /// Returns the complete request as it is sent.
     pub fn to_bytes(&self) -> Vec<u8> {
         let mut bytes = format!(
--- a/standins/src/platform/wire.rs
+++ b/standins/src/platform/wire.rs
@@ -3,17 +3,25 @@
 
 use std::io::Read;
 use std::io::Write;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::process::listen;
 
+/// Pause between checks whether a suspended port opens again.
+const SUSPENDED_POLL_INTERVAL: Duration = Duration::from_millis(2);
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 64;
 
@@ -53,6 +61,49 @@
     }
 }
 
+/// Open connections of a port, and whether it currently takes new ones.
+#[derive(Default)]
+pub struct PortState {
+    addr: Mutex<Option<SocketAddr>>,
+    suspended_until: Mutex<Option<Instant>>,
+    connections: Mutex<Vec<(SocketAddr, TcpStream)>>,
+}
+
+impl PortState {
+    /// Refuses new connections for `time` and then resets all open ones, as if the process had crashed and
+    /// were started again.
+    pub fn suspend(&self, time: Duration) {
+        *lock(&self.suspended_until) = Some(Instant::now() + time);
+        // Each connection wakes the accepting thread, which closes its port.
+        let addr = *lock(&self.addr);
+        while self.is_suspended() && addr.is_some_and(|addr| TcpStream::connect(addr).is_ok()) {
+            thread::sleep(SUSPENDED_POLL_INTERVAL);
+        }
+        for (_, stream) in lock(&self.connections).drain(..) {
+            // Errors mean that the connection has ended already.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    /// Returns whether the port refuses connections.
+    pub fn is_suspended(&self) -> bool {
+        lock(&self.suspended_until).is_some_and(|until| Instant::now() < until)
+    }
+
+    fn add(&self, peer: SocketAddr, stream: &TcpStream) {
+        lock(&self.connections).extend(stream.try_clone().map(|stream| (peer, stream)));
+    }
+
+    /// Closes the second handle of a connection, so that the connection ends with its thread.
+    fn remove(&self, peer: SocketAddr) {
+        lock(&self.connections).retain(|(addr, _)| *addr != peer);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// A port whose connections are served until it is closed.
 pub struct Listener {
     addr: SocketAddr,
@@ -68,14 +119,26 @@
     /// Fails when it cannot listen on a free port.
     pub fn start(
         handler: impl Fn(&mut TcpStream, &Request) -> bool + Send + Sync + 'static,
+    ) -> Result<Self, anyhow::Error> {
+        Self::start_with(Arc::default(), handler)
+    }
+
+    /// Like `start`; `port` suspends the listener.
+    ///
+    /// # Errors
+    /// Fails when it cannot listen on a free port.
+    pub fn start_with(
+        port: Arc<PortState>,
+        handler: impl Fn(&mut TcpStream, &Request) -> bool + Send + Sync + 'static,
     ) -> Result<Self, anyhow::Error> {
         let listener = listen()?;
         let addr = listener.local_addr()?;
+        *lock(&port.addr) = Some(addr);
         let stopped = Arc::new(AtomicBool::new(false));
         let thread_stopped = Arc::clone(&stopped);
         let handler = Arc::new(handler);
         let thread =
-            thread::spawn(move || accept_connections(&listener, &handler, &thread_stopped));
+            thread::spawn(move || accept_connections(listener, &port, &handler, &thread_stopped));
         Ok(Self { addr, stopped, thread })
     }
 
@@ -94,17 +157,44 @@
     }
 }
 
-fn accept_connections<F>(listener: &TcpListener, handler: &Arc<F>, stopped: &Arc<AtomicBool>)
-where
+fn accept_connections<F>(
+    listener: TcpListener,
+    port: &Arc<PortState>,
+    handler: &Arc<F>,
+    stopped: &Arc<AtomicBool>,
+) where
     F: Fn(&mut TcpStream, &Request) -> bool + Send + Sync + 'static,
 {
-    for stream in listener.incoming().flatten() {
+    let mut listener = Some(listener);
+    loop {
+        if port.is_suspended() {
+            listener = None;
+            thread::sleep(SUSPENDED_POLL_INTERVAL);
+            if stopped.load(Ordering::Relaxed) {
+                return;
+            }
+            continue;
+        }
+        let addr = *lock(&port.addr);
+        let open = listener.take().or_else(|| TcpListener::bind(addr?).ok());
+        let Some(open) = open else { continue };
+        let accepted = open.accept();
+        listener = Some(open);
         if stopped.load(Ordering::Relaxed) {
             return;
         }
+        let Ok((stream, peer)) = accepted else { continue };
+        if port.is_suspended() {
+            continue;
+        }
+        port.add(peer, &stream);
         let (handler, stopped) = (Arc::clone(handler), Arc::clone(stopped));
         // A failed connection only ends its thread; tests look at the stand-in's counts instead.
-        thread::spawn(move || serve_connection(stream, &*handler, &stopped));
+        let port = Arc::clone(port);
+        thread::spawn(move || {
+            serve_connection(stream, &*handler, &stopped);
+            port.remove(peer);
+        });
     }
 }
 
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -17,6 +17,7 @@
 use serde_json::json;
 
 use crate::platform::wire::Listener;
+use crate::platform::wire::PortState;
 use crate::platform::wire::Request;
 use crate::platform::wire::write_response;
 
@@ -114,9 +115,21 @@
     pub work_ms: u64,
 }
 
+/// What makes the worker crash.
+#[derive(Clone, Debug)]
+struct Crash {
+    // Id of a prompt part.
+    part: String,
+    // Time until the worker is back.
+    down: Duration,
+    // Number of complete events before the crash in the stream of a request with the part.
+    after_events: u64,
+}
+
 #[derive(Default)]
 struct State {
     behavior: Option<Behavior>,
+    crash: Option<Crash>,
     born_ms: u64,
     resident_models: Vec<String>,
     busy_until: Option<Instant>,
@@ -134,6 +147,7 @@
     id: String,
     spec: WorkerSpec,
     state: Mutex<State>,
+    port: Arc<PortState>,
 }
 
 /// A running stand-in for a worker.
@@ -153,10 +167,17 @@
             born_ms: lovageridge::clock::unix_ms(),
             ..State::default()
         };
-        let shared = Arc::new(Shared { id: id.to_owned(), spec, state: Mutex::new(state) });
+        let port = Arc::new(PortState::default());
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            spec,
+            state: Mutex::new(state),
+            port: Arc::clone(&port),
+        });
         let handler_state = Arc::clone(&shared);
-        let listener =
-            Listener::start(move |stream, request| handler_state.handle_request(stream, request))?;
+        let listener = Listener::start_with(port, move |stream, request| {
+            handler_state.handle_request(stream, request)
+        })?;
         Ok(Self { listener, shared })
     }
 
@@ -175,6 +196,24 @@
         self.shared.lock().behavior = Some(behavior);
     }
 
+    /// Makes the worker crash whenever it begins to respond to a request with the prompt part `part`;
+    /// it is back after `down`, with a new start time.
+    pub fn crash_on_part(&self, part: &str, down: Duration) {
+        self.crash_after_events(part, 0, down);
+    }
+
+    /// Makes the worker crash in each stream of a request with the prompt part `part` after `events`
+    /// complete events, and in each plain response to such a request after half of its body.
+    pub fn crash_after_events(&self, part: &str, events: u64, down: Duration) {
+        let crash = Crash { part: part.to_owned(), down, after_events: events };
+        self.shared.lock().crash = Some(crash);
+    }
+
+    /// Returns the start time of the worker, as Unix time in ms; it changes with a crash.
+    pub fn born_ms(&self) -> u64 {
+        self.shared.lock().born_ms
+    }
+
     /// Returns the requests that ran, in the order of their start.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.lock().runs.clone()
@@ -218,7 +257,7 @@
             "Service": spec.service, "Address": addr.to_string(), "Zone": spec.domain,
             "Version": "v1", "Slots": 8, "State": state, "ColdLeftMs": 0, "Stage": "colocated",
             "Models": resident, "AtHand": {"InMemory": [], "OnDisk": spec.on_disk}, "Seq": 1,
-            "born": self.shared.lock().born_ms,
+            "born": self.born_ms(),
         });
         record.to_string().into_bytes()
     }
@@ -335,8 +374,13 @@
         let body = format!("{} {} by {}", request.method, request.path, self.id);
         let start = self.response_head(request, status, behavior);
         if behavior == Behavior::Unframed {
+            let crash = self.due_crash(request);
+            let sent = if crash.is_some() { &body[..body.len() / 2] } else { &body };
             // Errors mean that the caller has left.
-            let _ = stream.write_all(format!("{start}\r\n{body}").as_bytes());
+            let _ = stream.write_all(format!("{start}\r\n{sent}").as_bytes());
+            if let Some(crash) = crash {
+                self.crash(&crash);
+            }
             return Some(false);
         }
         let text = format!("{start}Content-Length: {}\r\n\r\n{body}", body.len());
@@ -364,10 +408,15 @@
         let framing = if unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
         let text = format!("{start}Content-Type: text/event-stream\r\n{framing}\r\n");
         stream.write_all(text.as_bytes()).ok()?;
+        let crash = self.due_crash(request);
         let after: u64 =
             request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         for id in after + 1..=self.spec.events {
             thread::sleep(Duration::from_millis(self.spec.event_interval_ms));
+            if let Some(crash) = crash.as_ref().filter(|crash| crash.after_events < id) {
+                self.crash(crash);
+                return Some(false);
+            }
             if is_disconnected(stream) {
                 return None;
             }
@@ -418,6 +467,20 @@
         }
     }
 
+    /// Returns the crash that a request causes, if it has the prompt part that makes the worker crash.
+    fn due_crash(&self, request: &Request) -> Option<Crash> {
+        let crash = self.lock().crash.clone()?;
+        let prefix = request.header("x-lovageridge-prompt-prefix").unwrap_or_default();
+        let has_part =
+            prefix.split(',').any(|pair| pair.split(':').next() == Some(crash.part.as_str()));
+        has_part.then_some(crash)
+    }
+
+    fn crash(&self, crash: &Crash) {
+        self.lock().born_ms = lovageridge::clock::unix_ms();
+        self.port.suspend(crash.down);
+    }
+
     fn respond_refused(&self, stream: &mut TcpStream, request: &Request, status: &str) -> bool {
         let id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
         let text = format!(
