Block prompt parts whose requests crash workers

Requests with one part of a prompt crashed one worker after the other, for as long as they came.

Cause: a failure was only a fact about the worker on which it showed. No instance kept what was running there, and each learned alone. Crashes are now related to the requests whose responses were beginning; all instances merge their observations, block a part after three crashes, keep it in the store for those that start, and try it again by one request of all.

--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod catalog;
 pub mod codec;
 pub mod connection;
+pub mod crashes;
 pub mod directory;
 pub mod eventlog;
 pub mod fleet;
@@ -42,6 +43,7 @@
 use crate::gateway::budget::RetryBudget;
 use crate::gateway::budget::RetryLimits;
 use crate::gateway::catalog::Catalog;
+use crate::gateway::crashes::driver::CrashTracker;
 use crate::gateway::directory::Directory;
 use crate::gateway::eventlog::EventLog;
 use crate::gateway::fleet::Fleet;
@@ -98,6 +100,8 @@
     pub fleet: RefCell<Option<Fleet>>,
     /// Notified when the lead has to plan loads and evictions anew.
     pub planning_due: Notify,
+    /// Prompt parts whose requests crash workers.
+    pub crashes: CrashTracker,
     /// Requests that wait for a model to be loaded.
     pub waits: RefCell<WaitingRequests>,
     /// Notified when the waiting requests have to be reported to the lead.
@@ -149,6 +153,7 @@
             lead: RefCell::default(),
             fleet: RefCell::default(),
             planning_due: Notify::new(),
+            crashes: CrashTracker::default(),
             waits: RefCell::default(),
             demand_report_due: Notify::new(),
             log,
--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -4,6 +4,7 @@
 //! it did not execute it. Without that statement, a non-idempotent request is not sent again, and is
 //! not refused with a status that guarantees that it has not run.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +24,9 @@
 use crate::gateway::catalog::Route;
 use crate::gateway::catalog::RouteKind;
 use crate::gateway::connection::SendBody;
+use crate::gateway::crashes;
+use crate::gateway::crashes::driver::Admission;
+use crate::gateway::crashes::driver::admit;
 use crate::gateway::directory::choose::ChooseError;
 use crate::gateway::directory::choose::Requirements;
 use crate::gateway::directory::choose::choose;
@@ -109,6 +113,8 @@
     pub arrived_ms: u64,
     /// Monotonic time of the deadline, at which the request is cancelled, in ms.
     pub deadline_at_ms: u64,
+    /// Whether the request is sent once although a part of its prompt is blocked.
+    pub is_probe: Cell<bool>,
 }
 
 impl Call {
@@ -399,7 +405,12 @@
     let mut model_wait: Option<ModelWait<'_>> = None;
     loop {
         let changed = gateway.state_changed.notified();
-        let choose_error = match find_worker(gateway, call, tried, true) {
+        let choice = find_worker(gateway, call, tried, true);
+        let admission = admit(gateway, call, !tried.is_empty()).await?;
+        if admission == Admission::ProbeClaimed {
+            continue;
+        }
+        let choose_error = match choice {
             Ok(chosen) => {
                 if model_wait.is_some() {
                     record_cold_wait(gateway, call);
@@ -485,7 +496,8 @@
     }
     let IncomingResponse { response, outcome, sender, in_flight } = incoming;
     let (parts, body) = response.into_parts();
-    let remaining_ms = call.deadline_at_ms.saturating_sub(gateway.now_ms());
+    let began_ms = gateway.now_ms();
+    let remaining_ms = call.deadline_at_ms.saturating_sub(began_ms);
     let reading = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES).collect();
     let body = match timeout(millis(remaining_ms), reading).await {
         Ok(Ok(body)) => body.to_bytes(),
@@ -495,6 +507,7 @@
                 .text("worker", &in_flight.worker_id)
                 .text("reason", error)
                 .emit();
+            crashes::driver::on_interrupted(gateway, call, &in_flight.worker_id, Some(began_ms));
             if may_retry(gateway, call, attempts) {
                 return Ok(None);
             }
@@ -507,6 +520,7 @@
         }
     };
     return_connection(gateway, &in_flight.worker_id, sender, &outcome);
+    crashes::driver::on_survival(gateway, &call.fields.prompt_parts, began_ms);
     let mut caller_response = Response::new(ResponseBody::complete(body));
     *caller_response.status_mut() = parts.status;
     *caller_response.headers_mut() = headers::caller_headers(&parts.headers);
--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -21,6 +21,7 @@
 use crate::gateway::connection::dial;
 use crate::gateway::connection::error_text;
 use crate::gateway::connection::limit_interim_responses;
+use crate::gateway::crashes;
 use crate::gateway::eventlog::Severity;
 use crate::gateway::message_fields::ResponseFields;
 use crate::gateway::message_fields::UpstreamFields;
@@ -174,6 +175,7 @@
     let response = match result {
         Ok(response) => response,
         Err(error) => {
+            crashes::driver::on_interrupted(gateway, call, &chosen.id, None);
             let (what, detail) = ("connection broke", error_text(&error));
             record_failed(gateway, call, attempts, chosen, "broken", what, &detail);
             return SendResult::Unknown { cause: "the worker's connection broke" };
--- a/lovageridge/src/gateway/connection.rs
+++ b/lovageridge/src/gateway/connection.rs
@@ -116,6 +116,14 @@
     async move { exceeded.notified().await }
 }
 
+/// Returns whether `addr` refuses connections, that is, whether no process listens there.
+pub async fn is_refused(addr: SocketAddr, connect_timeout: Duration) -> bool {
+    match timeout(connect_timeout, TcpStream::connect(addr)).await {
+        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 /// Returns whether a response has a length or chunks, so that its end differs from that of a connection that
 /// breaks.
 pub fn is_framed(response: &Response<Incoming>) -> bool {
--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -11,6 +11,7 @@
 use crate::gateway::peers::Tag;
 use crate::gateway::peers::WorkerLoad;
 use crate::gateway::peers::tag;
+use crate::hashing;
 use crate::sorted::Table;
 
 pub mod choose;
@@ -111,6 +112,8 @@
     pub in_flight_by_model: Table<String, u32>,
     /// Health as observed from its responses.
     pub health: Health,
+    /// Hash of its id and start time.
+    pub key: u64,
     // Load from a response, own requests in progress at that time, and the time, in ms.
     response_load: Option<(ReportedLoad, u32, u64)>,
     reported_load: Option<LeadReportedLoad>,
@@ -318,16 +321,17 @@
     fn new(record: WorkerRecord, now_ms: u64) -> Self {
         Self {
             tag: tag(&[&record.id]),
-            record,
             record_received_ms: now_ms,
             in_flight: 0,
             in_flight_by_model: Table::new(),
             health: Health::default(),
+            key: hashing::stable_hash(&[&record.id, &record.start_unix_ms.to_string()]),
             response_load: None,
             reported_load: None,
             view: None,
             absent_targets: Vec::new(),
             expires_ms: None,
+            record,
         }
     }
 
--- a/lovageridge/src/gateway/metrics.rs
+++ b/lovageridge/src/gateway/metrics.rs
@@ -25,6 +25,12 @@
     pub sends_total: IntCounterVec,
     /// Streams that an upstream did not end properly, by service and cause.
     pub streams_broken_total: IntCounterVec,
+    /// Prompt parts that are suspected of crashing workers.
+    pub suspected_parts: IntGauge,
+    /// Prompt parts whose requests are refused.
+    pub blocked_parts: IntGauge,
+    /// Requests refused because of a blocked prompt part.
+    pub blocked_requests_total: IntCounter,
     /// Retries refused by the retry budget, by service.
     pub budget_refused_total: IntCounterVec,
     /// Time that requests waited for a model that no worker held, by route, in seconds.
@@ -102,6 +108,15 @@
                 "Streams that an upstream did not end properly",
                 &["service", "cause"],
             )?,
+            suspected_parts: gauge(
+                "gateway_suspected_parts",
+                "Prompt parts suspected of crashing workers",
+            )?,
+            blocked_parts: gauge("gateway_blocked_parts", "Prompt parts that are refused")?,
+            blocked_requests_total: counter(
+                "gateway_blocked_requests_total",
+                "Requests refused because of a blocked prompt part",
+            )?,
             budget_refused_total: counters(
                 "gateway_budget_refused_total",
                 "Repeated sends refused by the budget",
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::crashes::PartReport;
 use crate::gateway::directory::WorkerView;
 use crate::gateway::sync::view::StoreView;
 use crate::gateway::sync::view::Topic;
@@ -235,6 +236,15 @@
     Residency(Residency),
     /// New records of the store.
     Batch(RecordBatch),
+    /// Observations of crashes.
+    CrashEvidence(Vec<PartReport>),
+    /// Digest of all observations of crashes that the sender knows.
+    EvidenceDigest {
+        /// The digest.
+        digest: u64,
+        /// Whether the receiver should reply with its own digest if it differs.
+        reply_requested: bool,
+    },
 }
 
 /// Content of a datagram.
--- a/lovageridge/src/gateway/peers/driver.rs
+++ b/lovageridge/src/gateway/peers/driver.rs
@@ -22,6 +22,7 @@
 use crate::gateway::connection;
 use crate::gateway::connection::CallResponse;
 use crate::gateway::connection::HttpClient;
+use crate::gateway::crashes;
 use crate::gateway::eventlog::Severity;
 use crate::gateway::peers;
 use crate::gateway::peers::Demand;
@@ -146,6 +147,7 @@
         Payload::Heartbeat { reply_requested } => {
             if reply_requested {
                 send(gateway, from, Payload::Heartbeat { reply_requested: false });
+                crashes::driver::send_digest(gateway, from);
             }
         }
         Payload::Demand(demand) => {
@@ -158,6 +160,10 @@
             on_residency(gateway, &message.sender, message.incarnation, residency, from);
         }
         Payload::Batch(batch) => sync::apply_batch(gateway, &batch),
+        Payload::CrashEvidence(reports) => crashes::driver::on_evidence(gateway, &reports),
+        Payload::EvidenceDigest { digest, reply_requested } => {
+            crashes::driver::on_digest(gateway, digest, reply_requested, from);
+        }
     }
     sync::on_peer_message(gateway, now_ms);
 }
@@ -368,6 +374,17 @@
     }
 }
 
+/// Sends a message with `payload` to all peers.
+pub fn send_to_all(gateway: &Gateway, payload: Payload) {
+    let now_ms = gateway.now_ms();
+    let Some(bytes) = codec::encode(gateway, "message", &build_message(gateway, payload)) else {
+        return;
+    };
+    for (_, peer) in gateway.peers.borrow().unexpired(now_ms) {
+        send_bytes(gateway, peer.addr, &bytes);
+    }
+}
+
 fn send_to_domain(gateway: &Gateway, payload: Payload) {
     let now_ms = gateway.now_ms();
     let Some(bytes) = codec::encode(gateway, "message", &build_message(gateway, payload)) else {
--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -20,6 +20,8 @@
 use crate::gateway::attempt::send::IncomingResponse;
 use crate::gateway::catalog::RouteKind;
 use crate::gateway::connection;
+use crate::gateway::crashes;
+use crate::gateway::crashes::SURVIVAL_MS;
 use crate::gateway::eventlog::Severity;
 use crate::gateway::message_fields::ResponseFields;
 use crate::gateway::message_fields::part_list;
@@ -112,6 +114,10 @@
     started_ms: u64,
     // Number of reads that returned data.
     reads: u64,
+    // Monotonic time of the first data, in ms.
+    first_data_ms: Option<u64>,
+    // Whether the response was recorded as having outlasted its beginning.
+    has_survived: bool,
     boundary: EventBoundary,
     // Whether the response has a length or chunks, so that its end is known.
     is_framed: bool,
@@ -202,6 +208,7 @@
                 }
                 SourceRead::CutOff => {
                     let cause = "the stream ended too early";
+                    self.record_interruption();
                     if !self.fail_over(cause, "").await {
                         return self.abort(cause);
                     }
@@ -223,6 +230,7 @@
                 }
                 SourceRead::Interrupted(error) => {
                     let cause = "the worker broke off";
+                    self.record_interruption();
                     if !self.fail_over(cause, &connection::error_text(&error)).await {
                         return self.abort(cause);
                     }
@@ -237,7 +245,10 @@
     }
 
     fn finish(&mut self) {
-        let Some(source) = self.source.take() else { return };
+        let Some(mut source) = self.source.take() else { return };
+        if let Some(began_ms) = source.upstream.first_data_ms {
+            source.upstream.record_survival(&self.gateway, &self.call, began_ms);
+        }
         let Upstream { outcome, sender, in_flight, is_framed, .. } = source.upstream;
         attempt::return_connection(&self.gateway, &in_flight.worker_id, sender, &outcome);
         let first_ms = self.delivery.first_ms.unwrap_or(self.call.arrived_ms);
@@ -255,6 +266,13 @@
             .emit();
     }
 
+    fn record_interruption(&self) {
+        let Some(Source { upstream, .. }) = &self.source else { return };
+        let worker_id = &upstream.in_flight.worker_id;
+        let first_data_ms = upstream.first_data_ms;
+        crashes::driver::on_interrupted(&self.gateway, &self.call, worker_id, first_data_ms);
+    }
+
     fn drop_failed_source(&mut self, cause: &'static str, detail: &str) {
         // Dropping the connection cancels the request at the worker before another worker starts.
         let Some(source) = self.source.take() else { return };
@@ -327,6 +345,24 @@
     }
 }
 
+impl Upstream {
+    fn on_data(&mut self, gateway: &Gateway, call: &Call) {
+        self.reads += 1;
+        let now_ms = gateway.now_ms();
+        let began_ms = *self.first_data_ms.get_or_insert(now_ms);
+        if now_ms >= began_ms + SURVIVAL_MS {
+            self.record_survival(gateway, call, began_ms);
+        }
+    }
+
+    fn record_survival(&mut self, gateway: &Gateway, call: &Call, began_ms: u64) {
+        if !self.has_survived {
+            self.has_survived = true;
+            crashes::driver::on_survival(gateway, &call.fields.prompt_parts, began_ms);
+        }
+    }
+}
+
 impl Source {
     fn new(incoming: IncomingResponse, started_ms: u64) -> Self {
         let IncomingResponse { response, outcome, sender, in_flight } = incoming;
@@ -340,6 +376,8 @@
                 in_flight,
                 started_ms,
                 reads: 0,
+                first_data_ms: None,
+                has_survived: false,
                 boundary: EventBoundary::default(),
                 is_framed,
             },
@@ -367,7 +405,7 @@
             match frame {
                 Ok(Some(Ok(frame))) => match frame.into_data() {
                     Ok(data) if !data.is_empty() => {
-                        self.upstream.reads += 1;
+                        self.upstream.on_data(gateway, call);
                         self.upstream.boundary.push(&data);
                         return SourceRead::Data(data);
                     }
--- a/lovageridge/src/gateway/serve.rs
+++ b/lovageridge/src/gateway/serve.rs
@@ -1,5 +1,6 @@
 //! HTTP servers of an instance: callers' port with limits and routing, readiness and metrics.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -214,6 +215,7 @@
         target,
         arrived_ms,
         deadline_at_ms: arrived_ms + timeout_ms,
+        is_probe: Cell::new(false),
     };
     attempt::handle(gateway, call).await
 }
--- a/lovageridge/src/platform/store.rs
+++ b/lovageridge/src/platform/store.rs
@@ -15,6 +15,10 @@
 pub const WORKERS_TOPIC: &str = "keyed.servers";
 /// Topic in which instances announce their addresses to other instances.
 pub const PEERS_TOPIC: &str = "keyed.peers";
+/// Topic of the prompt parts whose requests crash workers.
+pub const CRASHES_TOPIC: &str = "keyed.crashes";
+/// Key of the record in that topic.
+pub const CRASHES_KEY: &str = "parts";
 /// Topic of the claims to leadership.
 pub const LEAD_TOPIC: &str = "lead";
 
@@ -33,7 +37,7 @@
 }
 
 /// One page of the newest records of a keyed topic, in order of key.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct NewestPage {
     /// Newest record of each key.
     pub records: Vec<KeyedRecord>,
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -132,4 +132,12 @@
     DATAGRAM_DROPPED = 728 "datagram_dropped";
     /// A worker's response was truncated.
     ANSWER_BROKEN = 729 "answer_broken";
+    /// It was checked whether a worker has crashed whose connection broke.
+    WORKER_CRASH_CHECKED = 730 "worker_crash_checked";
+    /// Requests with a prompt part are now refused, since it crashes workers.
+    PART_BLOCKED = 731 "part_blocked";
+    /// Requests with a prompt part are no longer refused.
+    PART_UNBLOCKED = 732 "part_unblocked";
+    /// A request with a blocked prompt part is sent to a worker.
+    PART_PROBED = 733 "part_probed";
 }
--- a/lovageridge/tests/gateway/crashes.rs
+++ b/lovageridge/tests/gateway/crashes.rs
@@ -7,8 +7,11 @@
 use standins::platform::caller::CallerRequest;
 use standins::platform::deployment::Deployment;
 use standins::platform::deployment::engine_worker;
+use standins::platform::deployment::wait_for;
+use standins::platform::store::Behavior;
 
 use crate::deployment;
+use crate::events;
 
 /// Id of the part that crashes workers.
 const BAD_PART: &str = "bad0";
@@ -70,6 +73,18 @@
         reply.map_or(0, |reply| reply.status_code)
     }
 
+    /// Sends a sound request that shares all other parts; returns whether it was served.
+    fn send_sound(&mut self, at: usize) -> bool {
+        self.sent += 1;
+        let (caller, own) = (format!("c{}", self.sent % 3), format!("own{}", self.sent));
+        let ask = CallerRequest::post("/stream/once/1", &format!("sound-{}", self.sent))
+            .for_model("m0")
+            .with_prompt(&["f0", &caller, &own]);
+        let reply = ask.send(self.deployment.instances[at].callers_addr);
+        self.register_restarted_workers();
+        reply.is_ok_and(|reply| reply.complete && reply.body == events(10))
+    }
+
     /// Returns the start times of the runs with the bad part, in order.
     fn bad_runs(&self) -> Vec<Instant> {
         let runs = self.deployment.workers.iter().flat_map(|worker| worker.runs());
@@ -90,6 +105,20 @@
         }
     }
 
+    /// Sends until the part is blocked at the given instances.
+    fn send_until_blocked(&mut self, instances: &[usize]) {
+        let until = Instant::now() + Duration::from_secs(10);
+        while Instant::now() < until && !instances.iter().all(|at| self.blocks(*at)) {
+            self.send_bad(instances[self.sent % instances.len()], "/stream/once/1");
+            thread::sleep(ROUND);
+        }
+        assert!(instances.iter().all(|at| self.blocks(*at)), "the part is not blocked");
+    }
+
+    fn blocks(&self, at: usize) -> bool {
+        self.deployment.instances[at].metric("gateway_blocked_parts ") == Some(1.0)
+    }
+
     fn assert_few_late_runs(&self) {
         let runs = self.bad_runs();
         let limited_from = runs.get(CRASHES_BEFORE_LIMIT - 1).map(|at| *at + CONTACT);
@@ -106,3 +135,102 @@
     incident.assert_few_late_runs();
     incident.deployment.close();
 }
+
+/// Guards against BUDGET on routes whose streams are resumed on another worker after a crash.
+#[test]
+fn resumed_streams_do_not_spread_the_crash() {
+    let mut incident = Incident::new(3);
+    let until = Instant::now() + Duration::from_secs(7);
+    for round in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        incident.send_bad(round % 3, "/stream/again/1");
+        thread::sleep(ROUND);
+    }
+    incident.assert_few_late_runs();
+    assert!(incident.bad_runs().len() <= 6, "{} runs", incident.bad_runs().len());
+    incident.deployment.close();
+}
+
+/// Guards against LOST: sound requests that share all other parts are refused with the cause.
+#[test]
+fn sound_requests_that_share_the_other_parts_are_served() {
+    let mut incident = Incident::new(3);
+    for round in 0..12 {
+        assert!(incident.send_sound(round % 3), "before the crashes, round {round}");
+    }
+    incident.send_until_blocked(&[0, 1, 2]);
+    assert!(wait_for(|| (0..3).all(|at| incident.send_sound(at))));
+    let served = (0..15).filter(|round| incident.send_sound(round % 3)).count();
+    assert_eq!(served, 15);
+    let status_code = incident.send_bad(0, "/stream/once/1");
+    assert_eq!(status_code, 503);
+    incident.deployment.close();
+}
+
+/// Guards against instances that were restarted, killed together or frozen and do not know the part.
+#[test]
+fn a_blocked_part_stays_blocked_over_kills_and_pauses() {
+    let mut incident = Incident::new(3);
+    incident.deployment.instances[2].process.pause();
+    incident.send_until_blocked(&[0, 1]);
+    let before = incident.bad_runs().len();
+    incident.deployment.instances[2].process.resume();
+    let stored = || incident.deployment.store.end_offset("keyed.crashes") > 0;
+    assert!(wait_for(stored), "the blocked part is not in the store");
+    assert!(wait_for(|| incident.blocks(2)), "the resumed instance does not block the part");
+    incident.send_bad(2, "/stream/once/1");
+    for instance in &mut incident.deployment.instances {
+        instance.process.kill();
+    }
+    for at in 0..3 {
+        incident.deployment.restart(at).expect("an instance");
+    }
+    let restarted = Instant::now();
+    assert!(wait_for(|| incident.deployment.instances.iter().all(|one| one.is_ready())));
+    assert!(wait_for(|| (0..3).all(|at| incident.blocks(at))), "the part is forgotten");
+    assert!(restarted.elapsed() < CONTACT, "{:?}", restarted.elapsed());
+    for at in 0..3 {
+        assert_eq!(incident.send_bad(at, "/stream/once/1"), 503);
+    }
+    assert_eq!(incident.bad_runs().len(), before);
+    incident.deployment.close();
+}
+
+/// Guards against a part that stays blocked although it no longer crashes workers.
+#[test]
+fn a_part_that_no_longer_crashes_workers_is_unblocked_by_one_probe() {
+    let mut incident = Incident::new(3);
+    incident.send_until_blocked(&[0, 1, 2]);
+    for worker in &incident.deployment.workers {
+        worker.crash_on_part("none", DOWN);
+    }
+    let before = incident.bad_runs().len();
+    let until = Instant::now() + Duration::from_secs(13);
+    let mut served = 0;
+    while Instant::now() < until && served < 3 {
+        let at = incident.sent % 3;
+        served += usize::from(incident.send_bad(at, "/stream/once/1") == 200);
+        if served == 1 {
+            assert_eq!(incident.bad_runs().len(), before + 1);
+        }
+        thread::sleep(ROUND);
+    }
+    assert_eq!(served, 3);
+    incident.deployment.close();
+}
+
+/// Guards against evidence that is lost while the store is down and the lead is away.
+#[test]
+fn a_part_is_blocked_without_the_store_and_without_a_lead() {
+    let mut incident = Incident::new(3);
+    assert!(wait_for(|| incident.deployment.lead().is_some()));
+    let lead = incident.deployment.lead().expect("a lead");
+    incident.deployment.store.set_behavior(Behavior::Unresponsive);
+    incident.deployment.instances[lead].process.pause();
+    let others: Vec<usize> = (0..3).filter(|at| *at != lead).collect();
+    incident.send_until_blocked(&others);
+    assert!(incident.bad_runs().len() <= CRASHES_BEFORE_LIMIT);
+    incident.deployment.close();
+}
