Probe a blocked part less often

The time between probes grows up to an hour now: 10 s, 1 min, 6 min, 36 min.

three_probes_at_most_are_due_in_half_an_hour: 5 before.

--- a/lovageridge/src/gateway/crashes.rs
+++ b/lovageridge/src/gateway/crashes.rs
@@ -40,7 +40,7 @@
 /// Factor by which this time grows with each probe.
 const PROBE_DELAY_FACTOR: i64 = 6;
 /// Longest time between two probes, in ms.
-const PROBE_DELAY_MAX_MS: i64 = 600_000;
+const PROBE_DELAY_MAX_MS: i64 = 3_600_000;
 /// Number of probes after which the time between them no longer grows.
 const PROBE_ROUNDS_MAX: u32 = 8;
 /// Largest number of parts that are remembered as sound, in each of two generations.
--- a/lovageridge/src/gateway/crashes/tests.rs
+++ b/lovageridge/src/gateway/crashes/tests.rs
@@ -118,6 +118,24 @@
     assert_eq!(ledger.blocked(), [BAD]);
 }
 
+/// Guards against a part that crashes a worker every few minutes for as long as it is requested.
+#[test]
+fn three_probes_at_most_are_due_in_half_an_hour() {
+    let mut ledger = CrashLedger::default();
+    let blocked_ms = crash(&mut ledger, &[BAD], 3, 1000);
+    let mut probes = 0;
+    for now_ms in (blocked_ms..blocked_ms + 1_800_000).step_by(1000) {
+        if ledger.probe_due_in_ms(BAD, now_ms) == 0 {
+            ledger.start_probe(BAD, now_ms);
+            ledger.on_crash(now_ms, &format!("p{now_ms}"), &[BAD], now_ms + 50);
+            probes += 1;
+        }
+        ledger.refresh(now_ms);
+        assert_eq!(ledger.blocked(), [BAD], "at {now_ms} ms");
+    }
+    assert_eq!(probes, 3);
+}
+
 #[test]
 fn probes_are_due_after_growing_times_and_a_sound_one_unblocks() {
     let mut ledger = CrashLedger::default();
