Bound the ages of reported crashes

A forged age near the end of the range overflowed when it was reported again, and the crash then looked new. Older ages now count as twice the longest time for which anything is kept.

a_crash_of_any_age_stays_old: overflow before.

--- a/lovageridge/src/gateway/crashes.rs
+++ b/lovageridge/src/gateway/crashes.rs
@@ -35,6 +35,8 @@
 const EVIDENCE_TTL_MS: i64 = 600_000;
 /// The same for a blocked part, in ms; longer than the time between two probes.
 const BLOCKED_TTL_MS: i64 = 2 * PROBE_DELAY_MAX_MS;
+/// Age that older observations count as, in ms.
+const AGE_MAX_MS: i64 = 2 * BLOCKED_TTL_MS;
 /// Time from the last crash or probe of a blocked part to its first probe, in ms.
 const PROBE_DELAY_MS: i64 = 10_000;
 /// Factor by which this time grows with each probe.
@@ -379,7 +381,9 @@
     }
 
     fn merge(&mut self, report: &PartReport, now_ms: i64) -> bool {
-        let at_ms = |age_ms: u64| now_ms.saturating_sub(i64::try_from(age_ms).unwrap_or(i64::MAX));
+        let at_ms = |age_ms: u64| {
+            now_ms - i64::try_from(age_ms).map_or(AGE_MAX_MS, |age| age.min(AGE_MAX_MS))
+        };
         let mut changed = false;
         for crash in report.crashes.iter().take(CRASHES_MAX) {
             let CrashReport { worker, request, is_cleared, .. } = *crash;
--- a/lovageridge/src/gateway/crashes/tests.rs
+++ b/lovageridge/src/gateway/crashes/tests.rs
@@ -268,3 +268,19 @@
     ledger.merge(&stale, last_ms + 20_000);
     assert!(ledger.blocked().is_empty());
 }
+
+/// Guards against forged ages that overflow and make an old crash look like a new one.
+#[test_case(u64::MAX; "beyond the range of times")]
+#[test_case(i64::MAX as u64; "at the end of the range of times")]
+fn a_crash_of_any_age_stays_old(age_ms: u64) {
+    let mut ledger = CrashLedger::default();
+    crash(&mut ledger, &[BAD], 1, 1000);
+    let mut forged = ledger.reports(1000);
+    forged[0].crashes[0] = CrashReport { worker: 7, request: 7, age_ms, is_cleared: false };
+    ledger.merge(&forged, 2000);
+    let reports = ledger.reports(9000);
+    let known = reports[0].crashes.iter().find(|crash| crash.worker == 7);
+    assert!(known.is_some_and(|crash| crash.age_ms > BLOCKED_TTL_MS as u64), "{known:?}");
+    ledger.refresh(1000 + BLOCKED_TTL_MS as u64);
+    assert!(ledger.is_empty());
+}
