Claim the probe of a blocked part once it can be sent

A sound part stayed blocked for the next delay, a minute, when the request that had claimed its probe found no worker: the claim came before it was known whether a worker can take the request. It now comes after.

--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -406,7 +406,7 @@
     loop {
         let changed = gateway.state_changed.notified();
         let choice = find_worker(gateway, call, tried, true);
-        let admission = admit(gateway, call, !tried.is_empty()).await?;
+        let admission = admit(gateway, call, !tried.is_empty(), choice.is_ok()).await?;
         if admission == Admission::ProbeClaimed {
             continue;
         }
--- a/lovageridge/src/gateway/crashes/driver.rs
+++ b/lovageridge/src/gateway/crashes/driver.rs
@@ -222,17 +222,23 @@
 }
 
 /// Refuses a request with a blocked part, unless the part is due to be tried again. `was_sent` tells
-/// whether the request was sent to a worker before.
+/// whether the request was sent to a worker before, `can_be_sent` whether a worker can take it now.
 ///
 /// # Errors
 /// Returns the refusal.
-pub async fn admit(gateway: &Gateway, call: &Call, was_sent: bool) -> Result<Admission, Refusal> {
+pub async fn admit(
+    gateway: &Gateway,
+    call: &Call,
+    was_sent: bool,
+    can_be_sent: bool,
+) -> Result<Admission, Refusal> {
     let blocked = gateway.crashes.ledger.borrow().blocked_among(&call.fields.prompt_parts);
     if blocked.is_empty() || (call.is_probe.get() && !was_sent) {
         return Ok(Admission::Admitted);
     }
     if let [part] = blocked[..]
         && !was_sent
+        && can_be_sent
         && claim_probe(gateway, part).await
     {
         call.is_probe.set(true);
--- a/lovageridge/tests/gateway/crashes.rs
+++ b/lovageridge/tests/gateway/crashes.rs
@@ -23,6 +23,9 @@
 const CONTACT: Duration = Duration::from_millis(3000);
 /// Number of such requests that may still reach workers.
 const LATE_RUNS_MAX: usize = 3;
+/// Time within which a blocked part is tried again: its first probe is due after 10 s, and a claim that
+/// failed is repeated after 5 s.
+const FIRST_PROBE: Duration = Duration::from_secs(16);
 /// Pause between two requests with the part.
 const ROUND: Duration = Duration::from_millis(120);
 
@@ -234,3 +237,30 @@
     assert!(incident.bad_runs().len() <= CRASHES_BEFORE_LIMIT);
     incident.deployment.close();
 }
+
+/// Guards against a sound part that stays blocked because the request chosen as its probe could not be
+/// sent.
+#[test]
+fn a_probe_is_not_spent_on_a_request_that_cannot_be_sent() {
+    let mut incident = Incident::new(3);
+    incident.send_until_blocked(&[0, 1, 2]);
+    for worker in &incident.deployment.workers {
+        worker.crash_on_part("none", DOWN);
+    }
+    let until = Instant::now() + FIRST_PROBE;
+    let mut served = false;
+    while Instant::now() < until && !served {
+        for at in 0..3 {
+            // No worker has this model.
+            let ask = CallerRequest::post("/stream/once/1", &format!("unknown-{}", incident.sent))
+                .for_model("m9")
+                .with_prompt(&["f0", BAD_PART, "own"]);
+            let reply = ask.send(incident.deployment.instances[at].callers_addr);
+            assert_eq!(reply.map_or(0, |reply| reply.status_code), 503);
+        }
+        served = incident.send_bad(incident.sent % 3, "/stream/once/1") == 200;
+        thread::sleep(ROUND);
+    }
+    assert!(served, "the part is still blocked");
+    incident.deployment.close();
+}
