Read the blocked parts after each unexplained crash

Instances that reach the store and a few others, but not the rest, lost three workers a group before they blocked a part that the others had blocked: only instances without any peer, or of an isolated failure domain, read the record. Who is reached by whom is not known in a large deployment, so each instance reads it after a crash that no blocked part explains.

--- a/lovageridge/src/gateway/crashes/driver.rs
+++ b/lovageridge/src/gateway/crashes/driver.rs
@@ -54,7 +54,7 @@
     pub(super) is_origin: Cell<bool>,
     pub(super) verdicts_changed_ms: Cell<u64>,
     pub(super) store_due: Notify,
-    // Whether the store has to be read: at the start.
+    // Whether the store has to be read: at the start, and after a crash that no blocked part explains.
     pub(super) is_read_due: Cell<bool>,
     pub(super) next_claim_ms: Cell<u64>,
 }
@@ -117,13 +117,19 @@
         worker.health.on_unreachable(now_ms);
     }
     let mut parts: Vec<PromptPart> = Vec::new();
+    let mut is_unexplained = false;
     update(gateway, true, |ledger| {
         for request in &requests {
+            is_unexplained |= ledger.blocked_among(&request.parts).is_empty();
             if ledger.on_crash(worker, &request.id, &request.parts, now_ms) {
                 parts.extend(&request.parts);
             }
         }
     });
+    if is_unexplained {
+        gateway.crashes.is_read_due.set(true);
+        gateway.crashes.store_due.notify_one();
+    }
     broadcast(gateway, parts);
 }
 
--- a/lovageridge/src/gateway/crashes/persist.rs
+++ b/lovageridge/src/gateway/crashes/persist.rs
@@ -103,6 +103,8 @@
 async fn sync_store_if_due(gateway: &Gateway, client: &mut HttpClient, times: &mut CallTimes) {
     let now_ms = gateway.now_ms();
     let is_apart = is_apart(gateway, now_ms);
+    // Whether some of the others are cut off is not known in a large deployment, where two given
+    // instances rarely exchange messages, so each instance also reads after a crash of its own.
     let is_due = gateway.crashes.is_read_due.get()
         || (is_apart && now_ms >= times.apart_read_at_ms)
         || is_write_due(gateway, now_ms);
@@ -125,11 +127,16 @@
 /// Reads the store and writes the ledger there if that is due.
 async fn sync_store(gateway: &Gateway, client: &mut HttpClient) -> StoreOutcome {
     gateway.crashes.is_read_due.set(false);
+    let before = gateway.crashes.ledger.borrow().blocked().to_vec();
     let Ok(end_offset) = read_store(gateway, client).await else {
         gateway.crashes.is_read_due.set(true);
         client.close();
         return StoreOutcome::Failed;
     };
+    // Others that this instance reaches may be cut off from those that wrote the record.
+    let mut news = gateway.crashes.ledger.borrow().blocked().to_vec();
+    news.retain(|part| !before.contains(part));
+    broadcast(gateway, news);
     let now_ms = gateway.now_ms();
     if !is_write_due(gateway, now_ms) {
         return StoreOutcome::Done;
--- a/lovageridge/tests/gateway/crashes.rs
+++ b/lovageridge/tests/gateway/crashes.rs
@@ -55,6 +55,18 @@
         Self { deployment, registered, sent: 0 }
     }
 
+    /// Adds instances that reach the store and each other, but no earlier instance.
+    fn add_separate_group(&mut self, size: usize) -> Vec<usize> {
+        self.deployment.separate_next_instances();
+        let first = self.deployment.instances.len();
+        for at in first..first + size {
+            self.deployment.add_instance(&format!("edge-{at}")).expect("an instance");
+        }
+        let added = &self.deployment.instances[first..];
+        assert!(wait_for(|| added.iter().all(|one| one.is_ready())));
+        (first..first + size).collect()
+    }
+
     fn register_restarted_workers(&mut self) {
         for (worker, registered) in self.deployment.workers.iter().zip(&mut self.registered) {
             if worker.born_ms() != *registered {
@@ -238,6 +250,30 @@
     incident.deployment.close();
 }
 
+/// Guards against BUDGET where some instances reach the store and each other but not the rest: each such
+/// group would learn of the part by crashes of its own.
+#[test]
+fn groups_of_instances_that_reach_only_the_store_learn_of_a_blocked_part() {
+    let mut incident = Incident::new(2);
+    let groups = [incident.add_separate_group(2), incident.add_separate_group(2)];
+    for at in groups.iter().flatten() {
+        assert!(wait_for(|| incident.send_sound(*at)), "instance {at} does not serve");
+    }
+    incident.send_until_blocked(&[0, 1]);
+    let stored = || incident.deployment.store.end_offset("keyed.crashes") > 0;
+    assert!(wait_for(stored), "the blocked part is not in the store");
+    let before = incident.bad_runs().len();
+    for group in &groups {
+        for round in 0..8 {
+            incident.send_bad(group[round % group.len()], "/stream/once/1");
+            thread::sleep(ROUND);
+        }
+    }
+    let late = incident.bad_runs().len() - before;
+    assert!(late <= LATE_RUNS_MAX, "{late} runs after the part was blocked");
+    incident.deployment.close();
+}
+
 /// Guards against a sound part that stays blocked because the request chosen as its probe could not be
 /// sent.
 #[test]
--- a/standins/src/platform/deployment.rs
+++ b/standins/src/platform/deployment.rs
@@ -54,6 +54,7 @@
     pub instances: Vec<Instance>,
     binary: PathBuf,
     workspace: Workspace,
+    next_is_separate: bool,
 }
 
 /// Returns the specification of a plain worker, whose calls take `work_ms`.
@@ -166,6 +167,7 @@
             instances: Vec::new(),
             binary: binary.into(),
             workspace: Workspace::new()?,
+            next_is_separate: false,
         };
         for worker in &deployment.workers {
             deployment.announce(worker, "ready");
@@ -208,10 +210,11 @@
         let number = self.instances.len();
         let (block, place) = (number / ADDRESSES_PER_BLOCK, number % ADDRESSES_PER_BLOCK);
         let ip = IpAddr::V4(Ipv4Addr::new(127, 0, block as u8, 2 + place as u8));
-        let peers_port = match self.instances.first() {
-            Some(first) => first.metrics_addr.port() - 1,
-            None => free_port_pair()?,
+        let peers_port = match self.instances.last() {
+            Some(last) if !self.next_is_separate => last.metrics_addr.port() - 1,
+            _ => free_port_pair()?,
         };
+        self.next_is_separate = false;
         let text = format!(
             "NodeName={name}\nZone=a\nIp={ip}\nListen.Front={callers}\nListen.Ready={ready}\n\
              InternalPorts={peers_port},{}\nSeeds=127.0.0.2:1\nPlatform.Address={store}\n\
@@ -235,6 +238,15 @@
         Ok(())
     }
 
+    /// Makes the instances that are added from now on unknown to the earlier ones, and the reverse, as
+    /// if their links were cut; all of them reach the store.
+    pub fn separate_next_instances(&mut self) {
+        for at in 0..self.instances.len() {
+            self.store.put("keyed.peers", &format!("edge-{at}"), b"");
+        }
+        self.next_is_separate = true;
+    }
+
     /// Starts an instance again that has exited.
     ///
     /// # Errors
