Keep blocked parts that an instance learns of late

The verdict comes first now.

an_instance_that_learns_late_of_a_blocked_part_blocks_it: nothing blocked before.

--- a/lovageridge/src/gateway/crashes.rs
+++ b/lovageridge/src/gateway/crashes.rs
@@ -297,13 +297,14 @@
         let is_newer = |evidence: &Evidence, ttl_ms: i64| {
             evidence.last_event_ms().is_some_and(|at_ms| now_ms - at_ms < ttl_ms)
         };
+        self.parts.retain(|_, evidence| is_newer(evidence, BLOCKED_TTL_MS));
+        // The shorter time holds for parts that are not blocked, so the verdict comes first: an instance
+        // that has just started learns of blocked parts whose last crash is old.
+        self.blocked = blocked_parts(&self.parts, now_ms);
         let blocked = &self.blocked;
         self.parts.retain(|part, evidence| {
-            let is_blocked = blocked.binary_search(part).is_ok();
-            let ttl_ms = if is_blocked { BLOCKED_TTL_MS } else { EVIDENCE_TTL_MS };
-            is_newer(evidence, ttl_ms)
+            blocked.binary_search(part).is_ok() || is_newer(evidence, EVIDENCE_TTL_MS)
         });
-        self.blocked = blocked_parts(&self.parts, now_ms);
     }
 
     /// Drops the parts with the fewest crashes beyond the bound. The order depends only on merged
--- a/lovageridge/src/gateway/crashes/tests.rs
+++ b/lovageridge/src/gateway/crashes/tests.rs
@@ -284,3 +284,17 @@
     ledger.refresh(1000 + BLOCKED_TTL_MS as u64);
     assert!(ledger.is_empty());
 }
+
+/// Guards against BUDGET at instances that start when a part has been blocked for some time, while its
+/// probes are far apart.
+#[test]
+fn an_instance_that_learns_late_of_a_blocked_part_blocks_it() {
+    let mut ledger = CrashLedger::default();
+    let last_ms = crash(&mut ledger, &[BAD], 3, 1000);
+    for late_ms in [EVIDENCE_TTL_MS as u64 + 1, BLOCKED_TTL_MS as u64 - 1] {
+        ledger.refresh(last_ms + late_ms);
+        let mut started = CrashLedger::default();
+        started.merge(&ledger.reports(last_ms + late_ms), 5000);
+        assert_eq!(started.blocked(), [BAD], "{late_ms} ms after the last crash");
+    }
+}
