Keep the latest suspects in a full ledger of crashes

Where many workers fail for other reasons, parts with one crash each fill the ledger. A new part was dropped at each of its crashes if its id sorted behind the others, and never blocked. Among parts with as many crashes, the latest ones stay now.

a_part_is_blocked_at_its_third_crash_in_a_full_ledger: nothing blocked before.

--- a/lovageridge/src/gateway/crashes.rs
+++ b/lovageridge/src/gateway/crashes.rs
@@ -307,11 +307,12 @@
         });
     }
 
-    /// Drops the parts with the fewest crashes beyond the bound. The order depends only on merged
+    /// Drops the parts with the fewest crashes beyond the bound, among equal ones those with the older
+    /// last crash: a part that crashes workers comes back soon. The order depends only on merged
     /// observations, so that instances drop the same ones.
     fn bound(&mut self, now_ms: u64) {
         if self.parts.len() > PARTS_MAX {
-            let weight = |one: &Evidence| one.open_crashes().count();
+            let weight = |one: &Evidence| (one.open_crashes().count(), one.last_crash_ms());
             let mut order: Vec<_> =
                 self.parts.iter().map(|(part, one)| (weight(one), *part)).collect();
             order.sort_unstable_by(|a, b| b.cmp(a));
--- a/lovageridge/src/gateway/crashes/tests.rs
+++ b/lovageridge/src/gateway/crashes/tests.rs
@@ -298,3 +298,43 @@
         assert_eq!(started.blocked(), [BAD], "{late_ms} ms after the last crash");
     }
 }
+
+/// Records crashes of `workers` workers for other reasons, each with ten parts that no later request has.
+fn crash_for_other_reasons(ledger: &mut CrashLedger, workers: u64, start_ms: u64) -> u64 {
+    for worker in 0..workers {
+        let number = start_ms * 1000 + worker * 10;
+        let parts: Vec<PromptPart> = (number..number + 10).map(PromptPart).collect();
+        ledger.on_crash(number, &format!("r{number}"), &parts, start_ms + worker * GAP_MS);
+    }
+    start_ms + workers * GAP_MS
+}
+
+/// Guards against BUDGET when many workers have crashed for other reasons: the parts of their requests
+/// fill the ledger, and a part that crashes workers must displace them.
+#[test]
+fn a_part_is_blocked_at_its_third_crash_in_a_full_ledger() {
+    let mut ledger = CrashLedger::default();
+    let mut now_ms = crash_for_other_reasons(&mut ledger, 20, 1000);
+    assert_eq!(ledger.parts.len(), PARTS_MAX);
+    for _ in 0..3 {
+        assert!(ledger.blocked().is_empty());
+        crash(&mut ledger, &[BAD], 1, now_ms);
+        now_ms = crash_for_other_reasons(&mut ledger, 2, now_ms + GAP_MS);
+    }
+    assert_eq!(ledger.blocked(), [BAD]);
+}
+
+/// Guards against instances that exchange full ledgers for ever because they keep different parts.
+#[test]
+fn full_ledgers_agree_after_an_exchange() {
+    let mut ledgers = vec![CrashLedger::default(); 2];
+    for (ledger, start_ms) in ledgers.iter_mut().zip([1000, 1150]) {
+        crash_for_other_reasons(ledger, 20, start_ms);
+    }
+    for (from, to) in [(0, 1), (1, 0)] {
+        let reports = ledgers[from].reports(60_000);
+        ledgers[to].merge(&reports, 60_000);
+    }
+    assert_eq!(ledgers[0].parts.len(), PARTS_MAX);
+    assert_eq!(ledgers[0].digest(), ledgers[1].digest());
+}
