Keep blocked parts when the time of day jumps

The age of the record in the store was taken from the time of day, so that after a jump the part was forgotten or its probe due at once. A known crash keeps its age now, and the time of day at most makes the probe of a stored part due.

a_stored_part_stays_blocked_and_is_tried_again, a_step_of_the_clock_does_not_change_the_ages_of_known_crashes: nothing blocked after three hours, and a probe due at once after half an hour, before.

--- a/lovageridge/src/gateway/crashes.rs
+++ b/lovageridge/src/gateway/crashes.rs
@@ -267,6 +267,14 @@
         parts.iter().filter(is_blocked).copied().collect()
     }
 
+    /// Returns the time since the crash of `worker` during a request with `part`, in ms; `None` if no such
+    /// crash is known.
+    pub fn crash_age_ms(&self, part: PromptPart, worker: u64, now_ms: u64) -> Option<u64> {
+        let crashes = &self.parts.get(&part)?.crashes;
+        let index = crashes.binary_search_by_key(&worker, |crash| crash.worker).ok()?;
+        Some((now_ms as i64 - crashes[index].at_ms).max(0) as u64)
+    }
+
     /// Returns whether there are no observations.
     pub fn is_empty(&self) -> bool {
         self.parts.is_empty()
--- a/lovageridge/src/gateway/crashes/stored.rs
+++ b/lovageridge/src/gateway/crashes/stored.rs
@@ -6,6 +6,9 @@
 use crate::gateway::crashes::CrashLedger;
 use crate::gateway::crashes::PartReport;
 
+#[cfg(test)]
+mod tests;
+
 /// Value of the record.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StoredReports {
@@ -17,6 +20,10 @@
 
 impl StoredReports {
     /// Merges the record into `ledger`; returns the ledger that the record alone amounts to.
+    ///
+    /// The time that has passed since the record was written is known by the time of day only, which may
+    /// jump. It therefore does not change the ages of crashes that the ledger knows, and a blocked part is
+    /// not forgotten because of it: at most, its probe is due.
     pub fn merge_into(
         self,
         ledger: &mut CrashLedger,
@@ -28,10 +35,15 @@
         let mut written = CrashLedger::default();
         written.merge(&reports, now_ms);
         for report in &mut reports {
+            let passed_ms = match written.blocked().binary_search(&report.part) {
+                Ok(_) => passed_ms.min(written.probe_due_in_ms(report.part, now_ms)),
+                Err(_) => passed_ms,
+            };
             report.probe_age_ms =
                 report.probe_age_ms.map(|age_ms| age_ms.saturating_add(passed_ms));
             for crash in &mut report.crashes {
-                crash.age_ms = crash.age_ms.saturating_add(passed_ms);
+                let known_age_ms = ledger.crash_age_ms(report.part, crash.worker, now_ms);
+                crash.age_ms = known_age_ms.unwrap_or(crash.age_ms.saturating_add(passed_ms));
             }
         }
         ledger.merge(&reports, now_ms);
