Keep crashes in the store before they block a part

Instances that reach the store but not each other added nothing up, and a kill of all instances between two crashes lost what was known: crashes reached the store only once a part was blocked. The lead, and instances that do not hear it, now write them at once; the latter read them every 1.5 s.

--- a/lovageridge/src/gateway/crashes.rs
+++ b/lovageridge/src/gateway/crashes.rs
@@ -5,8 +5,8 @@
 //! response in between that outlasted its beginning. Blocked parts are tried again after a growing
 //! time, by one request of all instances.
 //!
-//! Observations only accumulate, so instances merge them in any order. Those of blocked parts are also kept in
-//! the store, for instances that start.
+//! Observations only accumulate, so instances merge them in any order. They are also kept in the store, so
+//! that instances that cannot reach each other add them up, and those that start again do not forget them.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -104,6 +104,17 @@
     pub probe_age_ms: Option<u64>,
 }
 
+/// A crash during a request with a certain part, for comparing ledgers.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct CrashState {
+    /// The part.
+    pub part: PromptPart,
+    /// Hash of the worker's id and start time.
+    pub worker: u64,
+    /// Whether a response to a later request has outlasted its beginning.
+    pub is_cleared: bool,
+}
+
 /// Effect of a response that has outlasted its beginning.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Survival {
@@ -253,6 +264,29 @@
         hashing::stable_hash(&[&rows.collect::<Vec<_>>().join(",")])
     }
 
+    /// Returns all crashes, sorted.
+    pub fn crash_states(&self) -> Vec<CrashState> {
+        let states = self.parts.iter().flat_map(|(part, evidence)| {
+            evidence.crashes.iter().map(|crash| CrashState {
+                part: *part,
+                worker: crash.worker,
+                is_cleared: crash.is_cleared,
+            })
+        });
+        states.collect()
+    }
+
+    /// Returns whether `stored`, which is sorted, lacks a crash that counts against a part, or has one of which
+    /// the part is cleared.
+    pub fn has_news_for(&self, stored: &[CrashState]) -> bool {
+        self.crash_states().iter().any(|state| {
+            let opposite = CrashState { is_cleared: !state.is_cleared, ..*state };
+            let is_stored = stored.binary_search(state).is_ok();
+            let is_opposite_stored = stored.binary_search(&opposite).is_ok();
+            !is_stored && is_opposite_stored == state.is_cleared
+        })
+    }
+
     /// Returns the blocked parts, sorted.
     pub fn blocked(&self) -> &[PromptPart] {
         &self.blocked
--- a/lovageridge/src/gateway/crashes/driver.rs
+++ b/lovageridge/src/gateway/crashes/driver.rs
@@ -13,6 +13,7 @@
 use crate::gateway::attempt::Call;
 use crate::gateway::connection;
 use crate::gateway::crashes::CrashLedger;
+use crate::gateway::crashes::CrashState;
 use crate::gateway::crashes::PartReport;
 use crate::gateway::crashes::SURVIVAL_MS;
 use crate::gateway::crashes::Survival;
@@ -50,6 +51,8 @@
     checks: RefCell<Table<String, Vec<BeginningRequest>>>,
     // Digest of the blocked parts that the store is known to hold.
     pub(super) stored_digest: Cell<u64>,
+    // All crashes that the store is known to hold.
+    pub(super) stored_crashes: RefCell<Vec<CrashState>>,
     // Whether this instance saw what changed the blocked parts last.
     pub(super) is_origin: Cell<bool>,
     pub(super) verdicts_changed_ms: Cell<u64>,
--- a/lovageridge/src/gateway/crashes/persist.rs
+++ b/lovageridge/src/gateway/crashes/persist.rs
@@ -1,8 +1,8 @@
 //! Keeps the crash ledger in the store, for instances that start or cannot reach others, and claims probes
 //! of blocked parts there.
 //!
-//! A change of the blocked parts is written at once by the instance that saw its cause, later by the lead in
-//! its place.
+//! A change of the blocked parts is written at once by the instance that saw its cause. Crashes that do not
+//! block a part yet are written by the lead, which others send them to, and by instances that do not hear it.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,6 +33,11 @@
 const CALL_INTERVAL_MS: u64 = 3000;
 /// Time between reads by an instance that is apart from others, in ms.
 const APART_READ_INTERVAL_MS: u64 = 1500;
+/// Time without a message from the lead after which an instance counts as apart, in ms; a successor has
+/// mostly been heard by then.
+const LEAD_SILENT_MS: u64 = 2000;
+/// Shortest time between writes of crashes that do not block a part, in ms.
+const CRASHES_WRITE_INTERVAL_MS: u64 = 1000;
 /// Longest time until an instance reads again after another one wrote first, in ms; the time is random, so
 /// that not all of them write at once.
 const CONTENTION_DELAY_MAX_MS: u64 = 400;
@@ -80,6 +85,7 @@
 struct CallTimes {
     retry_at_ms: u64,
     apart_read_at_ms: u64,
+    crashes_write_at_ms: u64,
 }
 
 /// Keeps the ledger current and the store up to date, until the process ends.
@@ -107,14 +113,14 @@
     // instances rarely exchange messages, so each instance also reads after a crash of its own.
     let is_due = gateway.crashes.is_read_due.get()
         || (is_apart && now_ms >= times.apart_read_at_ms)
-        || is_write_due(gateway, now_ms);
+        || is_write_due(gateway, times, now_ms);
     if !is_due || now_ms < times.retry_at_ms {
         return;
     }
     if is_apart {
         times.apart_read_at_ms = now_ms + APART_READ_INTERVAL_MS;
     }
-    match sync_store(gateway, client).await {
+    match sync_store(gateway, client, times).await {
         StoreOutcome::Done => {}
         StoreOutcome::Contended => {
             gateway.crashes.is_read_due.set(true);
@@ -125,7 +131,11 @@
 }
 
 /// Reads the store and writes the ledger there if that is due.
-async fn sync_store(gateway: &Gateway, client: &mut HttpClient) -> StoreOutcome {
+async fn sync_store(
+    gateway: &Gateway,
+    client: &mut HttpClient,
+    times: &mut CallTimes,
+) -> StoreOutcome {
     gateway.crashes.is_read_due.set(false);
     let before = gateway.crashes.ledger.borrow().blocked().to_vec();
     let Ok(end_offset) = read_store(gateway, client).await else {
@@ -138,23 +148,40 @@
     news.retain(|part| !before.contains(part));
     broadcast(gateway, news);
     let now_ms = gateway.now_ms();
-    if !is_write_due(gateway, now_ms) {
+    if !is_write_due(gateway, times, now_ms) {
         return StoreOutcome::Done;
     }
-    write_store(gateway, client, end_offset).await
+    let result = write_store(gateway, client, end_offset).await;
+    if result == StoreOutcome::Done {
+        times.crashes_write_at_ms = now_ms + CRASHES_WRITE_INTERVAL_MS;
+    }
+    result
 }
 
-/// Returns whether this instance may miss what others see: it hears no other instance, or none of another
-/// failure domain.
+/// Returns whether this instance may miss what others see: it hears no other instance, none of another
+/// failure domain, or not the lead.
 fn is_apart(gateway: &Gateway, now_ms: u64) -> bool {
     let peers = gateway.peers.borrow();
-    peers.live(now_ms).next().is_none()
+    let hears_lead = gateway.election.borrow().fence().is_some()
+        || gateway
+            .lead
+            .borrow()
+            .as_ref()
+            .is_some_and(|lead| now_ms < lead.received_at_ms + LEAD_SILENT_MS);
+    !hears_lead
+        || peers.live(now_ms).next().is_none()
         || peers.is_domain_isolated(&gateway.settings().domain, now_ms)
 }
 
-/// Returns whether this instance should write the ledger to the store: the one that saw the last change of the
-/// blocked parts does so at once, the lead later in its place.
-fn is_write_due(gateway: &Gateway, now_ms: u64) -> bool {
+/// Returns whether this instance should write the ledger to the store.
+fn is_write_due(gateway: &Gateway, times: &CallTimes, now_ms: u64) -> bool {
+    is_blocked_write_due(gateway, now_ms)
+        || (now_ms >= times.crashes_write_at_ms && is_crashes_write_due(gateway, now_ms))
+}
+
+/// The same because of the blocked parts: the instance that saw the last change writes at once, the lead
+/// later in its place.
+fn is_blocked_write_due(gateway: &Gateway, now_ms: u64) -> bool {
     let tracker = &gateway.crashes;
     if tracker.ledger.borrow().blocked_digest() == tracker.stored_digest.get() {
         return false;
@@ -164,6 +191,13 @@
     tracker.is_origin.get() || lead_due
 }
 
+/// The same because of crashes that do not block a part.
+fn is_crashes_write_due(gateway: &Gateway, now_ms: u64) -> bool {
+    let tracker = &gateway.crashes;
+    let writes = gateway.election.borrow().fence().is_some() || is_apart(gateway, now_ms);
+    writes && tracker.ledger.borrow().has_news_for(&tracker.stored_crashes.borrow())
+}
+
 /// Reads the record of the ledger and merges it; returns the end offset of the topic.
 async fn read_store(gateway: &Gateway, client: &mut HttpClient) -> Result<u64, ()> {
     let path = store::newest_path(store::CRASHES_TOPIC, None);
@@ -202,6 +236,7 @@
 /// Records what the store holds.
 fn set_stored(gateway: &Gateway, stored: &CrashLedger) {
     gateway.crashes.stored_digest.set(stored.blocked_digest());
+    gateway.crashes.stored_crashes.replace(stored.crash_states());
 }
 
 /// Writes the ledger to the store if nothing was written there since it was read up to `end_offset`.
--- a/lovageridge/src/gateway/crashes/tests.rs
+++ b/lovageridge/src/gateway/crashes/tests.rs
@@ -338,3 +338,25 @@
     assert_eq!(ledgers[0].parts.len(), PARTS_MAX);
     assert_eq!(ledgers[0].digest(), ledgers[1].digest());
 }
+
+/// Guards against crashes that are never stored, and against ledgers that are stored again without a change.
+#[test]
+fn a_ledger_has_news_until_its_crashes_are_stored_as_they_are() {
+    let mut ledger = CrashLedger::default();
+    assert!(!ledger.has_news_for(&[]));
+    let last_ms = crash(&mut ledger, &[FIRST, BAD], 2, 1000);
+    assert!(ledger.has_news_for(&[]));
+    let stored = ledger.crash_states();
+    assert!(!ledger.has_news_for(&stored));
+    ledger.on_survival(&[FIRST], last_ms + 10, last_ms + 300);
+    assert!(ledger.has_news_for(&stored));
+    let cleared = ledger.crash_states();
+    assert!(!ledger.has_news_for(&cleared));
+    // An instance that knows less does not replace what is stored.
+    let mut started = CrashLedger::default();
+    started.on_crash(1000, "r1000", &[FIRST], 1000);
+    assert!(!started.has_news_for(&cleared));
+    // Crashes of which a part is cleared need not be stored.
+    ledger.on_survival(&[BAD], last_ms + 10, last_ms + 300);
+    assert!(!ledger.has_news_for(&[]));
+}
--- a/lovageridge/tests/gateway/crashes.rs
+++ b/lovageridge/tests/gateway/crashes.rs
@@ -26,6 +26,10 @@
 /// Time within which a blocked part is tried again: its first probe is due after 10 s, and a claim that
 /// failed is repeated after 5 s.
 const FIRST_PROBE: Duration = Duration::from_secs(16);
+/// Number of groups of instances that reach the store but not each other.
+const SEPARATE_GROUPS: usize = 7;
+/// Pause between two requests with the part to such groups: long enough that a group alone learns too late.
+const SEPARATE_ROUND: Duration = Duration::from_millis(400);
 /// Pause between two requests with the part.
 const ROUND: Duration = Duration::from_millis(120);
 
@@ -300,3 +304,54 @@
     assert!(served, "the part is still blocked");
     incident.deployment.close();
 }
+
+/// Guards against BUDGET where groups of instances reach the store but not each other: each of them sees too
+/// few crashes by itself to block the part.
+#[test]
+fn groups_of_instances_that_reach_only_the_store_add_up_their_crashes() {
+    let mut incident = Incident::new(2);
+    for _ in 1..SEPARATE_GROUPS {
+        incident.add_separate_group(2);
+    }
+    for at in 0..2 * SEPARATE_GROUPS {
+        assert!(wait_for(|| incident.send_sound(at)), "instance {at} does not serve");
+    }
+    let until = Instant::now() + Duration::from_secs(12);
+    for round in 0.. {
+        if Instant::now() >= until {
+            break;
+        }
+        // One instance of each group.
+        incident.send_bad(round % SEPARATE_GROUPS * 2, "/stream/once/1");
+        thread::sleep(SEPARATE_ROUND);
+    }
+    incident.assert_few_late_runs();
+    incident.deployment.close();
+}
+
+/// Guards against BUDGET where all instances are killed before they have seen enough crashes.
+#[test]
+fn crashes_before_all_instances_were_killed_are_remembered() {
+    let mut incident = Incident::new(3);
+    for at in 0..2 {
+        let runs = incident.bad_runs().len();
+        assert!(wait_for(|| {
+            incident.send_bad(at, "/stream/once/1");
+            incident.bad_runs().len() > runs
+        }));
+        thread::sleep(Duration::from_secs(2));
+        for instance in &mut incident.deployment.instances {
+            instance.process.kill();
+        }
+        for at in 0..3 {
+            incident.deployment.restart(at).expect("an instance");
+        }
+        assert!(wait_for(|| (0..3).all(|at| incident.send_sound(at))));
+    }
+    let runs = incident.bad_runs().len();
+    incident.send_bad(2, "/stream/once/1");
+    assert_eq!(incident.bad_runs().len(), runs + 1);
+    let all_block = || (0..3).all(|at| incident.blocks(at));
+    assert!(wait_for(all_block), "the part is not blocked after {} crashes", runs + 1);
+    incident.deployment.close();
+}
