Tell a crash from the end of a response without length

A worker that crashes in a response with neither a length nor chunks closes its connection as if it were complete. At such an end the worker is now asked for a connection; if it refuses, the response is broken off.

Tests with_its_worker_is_not_complete and crashes_in_streams_without_length_count_against_the_part, red before.

--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -16,6 +16,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Uri;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use tokio::time::timeout;
 
@@ -23,6 +24,7 @@
 use crate::gateway::catalog::Catalog;
 use crate::gateway::catalog::Route;
 use crate::gateway::catalog::RouteKind;
+use crate::gateway::connection;
 use crate::gateway::connection::SendBody;
 use crate::gateway::crashes;
 use crate::gateway::crashes::driver::Admission;
@@ -495,12 +497,13 @@
         return Ok(Some(stream_response(gateway, call, attempts, incoming)));
     }
     let IncomingResponse { response, outcome, sender, in_flight } = incoming;
+    let is_framed = connection::is_framed(&response);
     let (parts, body) = response.into_parts();
     let began_ms = gateway.now_ms();
     let remaining_ms = call.deadline_at_ms.saturating_sub(began_ms);
-    let reading = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES).collect();
+    let reading = read_body(gateway, body, is_framed, &in_flight.worker_id);
     let body = match timeout(millis(remaining_ms), reading).await {
-        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Ok(body)) => body,
         Ok(Err(error)) => {
             let line = gateway.log.line(events::ANSWER_BROKEN, Severity::Notable);
             line.text("request", call.id())
@@ -527,6 +530,24 @@
     Ok(Some(caller_response))
 }
 
+/// Reads the body of a response that is not a stream.
+///
+/// # Errors
+/// Returns the reason why the body is not complete.
+async fn read_body(
+    gateway: &Gateway,
+    body: Incoming,
+    is_framed: bool,
+    worker_id: &str,
+) -> Result<Bytes, String> {
+    let body = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES).collect().await;
+    let body = body.map_err(|error| error.to_string())?.to_bytes();
+    if !is_framed && crashes::driver::has_crashed(gateway, worker_id).await {
+        return Err("the worker crashed in a body without length".to_owned());
+    }
+    Ok(body)
+}
+
 /// Returns a connection to the pool, unless the worker closes it.
 pub fn return_connection(
     gateway: &Gateway,
--- a/lovageridge/src/gateway/crashes/driver.rs
+++ b/lovageridge/src/gateway/crashes/driver.rs
@@ -33,6 +33,8 @@
 const CHECKS: u32 = 2;
 /// Pause between them.
 const CHECK_PAUSE: Duration = Duration::from_millis(100);
+/// The same while the end of a response waits for the result.
+const RESPONSE_CHECK_PAUSE: Duration = Duration::from_millis(20);
 /// Shortest Retry-After for a blocked part, in ms.
 const RETRY_AFTER_MIN_MS: u64 = 1000;
 
@@ -93,18 +95,36 @@
     tokio::task::spawn_local(async move { check_worker(&gateway, &worker_id, worker, addr).await });
 }
 
-/// Checks whether a worker has crashed; if so, records it for the requests that were beginning.
-async fn check_worker(gateway: &Gateway, worker_id: &str, worker: u64, addr: SocketAddr) {
-    let mut has_crashed = false;
+/// Returns whether a worker that is not leaving refuses connections, as it does after a crash. A sound worker
+/// delays the answer by [`RESPONSE_CHECK_PAUSE`].
+pub async fn has_crashed(gateway: &Gateway, worker_id: &str) -> bool {
+    let addr = {
+        let directory = gateway.directory.borrow();
+        let worker = directory.get(worker_id).filter(|worker| !worker.record.leaving);
+        worker.map(|worker| worker.record.addr)
+    };
+    match addr {
+        Some(addr) => refuses_connections(addr, RESPONSE_CHECK_PAUSE).await,
+        None => false,
+    }
+}
+
+/// Returns whether no process listens on `addr`, after [`CHECKS`] attempts to connect with pauses between them.
+async fn refuses_connections(addr: SocketAddr, pause: Duration) -> bool {
     for attempt in 0..CHECKS {
         if attempt > 0 {
-            tokio::time::sleep(CHECK_PAUSE).await;
+            tokio::time::sleep(pause).await;
         }
-        has_crashed = connection::is_refused(addr, CHECK_TIMEOUT).await;
-        if has_crashed {
-            break;
+        if connection::is_refused(addr, CHECK_TIMEOUT).await {
+            return true;
         }
     }
+    false
+}
+
+/// Checks whether a worker has crashed; if so, records it for the requests that were beginning.
+async fn check_worker(gateway: &Gateway, worker_id: &str, worker: u64, addr: SocketAddr) {
+    let has_crashed = refuses_connections(addr, CHECK_PAUSE).await;
     let requests = gateway.crashes.checks.borrow_mut().remove(worker_id).unwrap_or_default();
     let line = gateway.log.line(events::WORKER_CRASH_CHECKED, Severity::Notable);
     line.text("worker", worker_id)
--- a/lovageridge/tests/gateway/crashes.rs
+++ b/lovageridge/tests/gateway/crashes.rs
@@ -9,6 +9,7 @@
 use standins::platform::deployment::engine_worker;
 use standins::platform::deployment::wait_for;
 use standins::platform::store::Behavior;
+use standins::platform::worker;
 
 use crate::deployment;
 use crate::events;
@@ -355,3 +356,17 @@
     assert!(wait_for(all_block), "the part is not blocked after {} crashes", runs + 1);
     incident.deployment.close();
 }
+
+/// Guards against BUDGET where responses have no length: those that a crash cuts off between two events would
+/// clear the part of all earlier crashes.
+#[test]
+fn crashes_in_streams_without_length_count_against_the_part() {
+    let mut incident = Incident::new(3);
+    for one in &incident.deployment.workers {
+        one.set_behavior(worker::Behavior::Unframed);
+        one.crash_after_events(BAD_PART, 2, DOWN);
+    }
+    incident.send_until(Instant::now() + Duration::from_secs(9), &[0, 1, 2]);
+    incident.assert_few_late_runs();
+    incident.deployment.close();
+}
--- a/lovageridge/tests/gateway/framing.rs
+++ b/lovageridge/tests/gateway/framing.rs
@@ -81,6 +81,53 @@
     deployment.close();
 }
 
+/// Id of a prompt part that crashes workers.
+const BAD_PART: &str = "bad0";
+/// Time for which a crashed worker is down.
+const DOWN: Duration = Duration::from_secs(5);
+
+fn with_bad_part(request: CallerRequest) -> CallerRequest {
+    request.with_prompt(&["f0", BAD_PART, "own"])
+}
+
+/// Guards against a response without length that ends because its worker crashes and is passed on as a
+/// complete one.
+#[test]
+fn a_response_without_length_that_ends_with_its_worker_is_not_complete() {
+    let deployment = services(Behavior::Unframed);
+    deployment.worker("p0").crash_on_part(BAD_PART, DOWN);
+    let ask = with_bad_part(CallerRequest::post("/book/1", "id1"));
+    let reply = ask.send(deployment.instances[0].callers_addr).expect("a response");
+    assert_eq!(reply.status_code, 502, "{:?}", reply.body);
+    deployment.close();
+}
+
+/// Guards against a call that may be repeated and is not, after its worker crashed in a response without length.
+#[test]
+fn a_call_is_repeated_after_its_worker_crashes_in_a_response_without_length() {
+    let deployment = services(Behavior::Unframed);
+    deployment.worker("p0").crash_on_part(BAD_PART, DOWN);
+    let ask = with_bad_part(CallerRequest::get("/look/1", "id1"));
+    let reply = ask.send(deployment.instances[0].callers_addr).expect("a response");
+    assert_eq!((reply.status_code, reply.body.as_str()), (200, "GET /look/1 by p1"));
+    deployment.close();
+}
+
+/// Guards against streams without length and chunks that end because their worker crashes between two events,
+/// and are passed on as complete ones.
+#[test_case("/stream/once/1", false; "that is not resumable")]
+#[test_case("/stream/again/1", true; "that is resumable")]
+fn a_stream_without_length_that_ends_with_its_worker_is_not_complete(path: &str, resumed: bool) {
+    let deployment = engines(Behavior::Unframed);
+    deployment.worker("e0").crash_after_events(BAD_PART, 4, DOWN);
+    let ask = with_bad_part(CallerRequest::post(path, "id1").for_model("m0"));
+    let reply = ask.send(deployment.instances[0].callers_addr).expect("response headers");
+    assert_eq!(reply.complete, resumed, "{:?}", reply.body);
+    let count = if resumed { 10 } else { 4 };
+    assert_eq!(reply.body, events(count));
+    deployment.close();
+}
+
 fn assert_memory_bounded(deployment: &Deployment) {
     let (rss_kib, _) = deployment.instances[0].process.usage().expect("a running process");
     assert!(rss_kib < MEMORY_MAX_KIB, "{rss_kib} KiB");
