Keep a part blocked when another one shares a crash with it

One of a part's three crashes may have another explanation now.

bad_parts_that_share_a_crash_are_both_blocked: only the second one blocked before.

--- a/lovageridge/src/gateway/crashes/tests.rs
+++ b/lovageridge/src/gateway/crashes/tests.rs
@@ -104,6 +104,26 @@
     assert_eq!(ledger.blocked(), [BAD, other]);
 }
 
+/// Guards against BUDGET with several bad parts: one that is blocked is sent again because requests with another
+/// one were beginning at one of its crashes.
+#[test]
+fn bad_parts_that_share_a_crash_are_both_blocked() {
+    for (part_of_shared, position) in [(&[FIRST, BAD][..], 0), (&[FIRST, CALLER, BAD][..], 1)] {
+        let mut ledger = CrashLedger::default();
+        let other = PromptPart(9);
+        let last_ms = crash(&mut ledger, part_of_shared, 3, 1000);
+        assert_eq!(ledger.blocked(), [BAD]);
+        // The last of these workers had a request with the other part as well.
+        let shared = 1000 + 2;
+        ledger.on_crash(shared, "shared", &[FIRST, PromptPart(20 + position), other], last_ms);
+        ledger.on_survival(&[FIRST, CALLER], last_ms + 20, last_ms + 300);
+        crash(&mut ledger, &[FIRST, PromptPart(30), other], 1, 5000);
+        assert_eq!(ledger.blocked(), [BAD]);
+        crash(&mut ledger, &[FIRST, PromptPart(31), other], 1, 6000);
+        assert_eq!(ledger.blocked(), [BAD, other]);
+    }
+}
+
 /// Guards against a sound part that stays blocked because it was in the same requests as the cause.
 #[test_case(&[CALLER, BAD], BAD; "the cause comes last")]
 #[test_case(&[BAD, CALLER], CALLER; "the cause comes first")]
--- a/lovageridge/src/gateway/crashes/verdict.rs
+++ b/lovageridge/src/gateway/crashes/verdict.rs
@@ -12,6 +12,9 @@
 /// The same for a part that was in sound requests before. Parts that share their requests with the
 /// cause of the crashes are mostly such parts.
 const CRASHES_MIN_IF_SOUND: usize = 5;
+/// Number of these crashes that may also be explained by another blocked part: requests with both parts may
+/// begin at the same worker.
+const EXPLAINED_MAX: usize = 1;
 /// Time from the first of these crashes within which sound requests with such a part would have
 /// shown, in ms.
 const OBSERVATION_MS: i64 = 1000;
@@ -43,13 +46,16 @@
         let Some(first) = open.first() else { return false };
         let observed = !self.was_sound || now_ms >= first.at_ms + OBSERVATION_MS;
         let min = if self.was_sound { CRASHES_MIN_IF_SOUND } else { CRASHES_MIN };
-        observed && episodes(&open) >= min && request_count(&open) >= REQUESTS_MIN
+        observed
+            && episodes(&self.crashes) >= min
+            && episodes(&open) >= min - EXPLAINED_MAX
+            && request_count(&open) >= REQUESTS_MIN
     }
 }
 
 /// Returns the parts to block, sorted.
 ///
-/// Crashes that a blocked part explains do not count against the other parts of the same requests.
+/// Crashes that a blocked part explains do not count against the other parts of the same requests, but for one.
 /// If the wrong one of two parts with the same crashes is blocked, the next crash tells them apart.
 pub fn blocked_parts(parts: &Table<PromptPart, Evidence>, now_ms: i64) -> Vec<PromptPart> {
     let suspects = parts.iter().map(|(part, evidence)| {
