--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -24,6 +24,7 @@
 use crate::gateway::crashes;
 use crate::gateway::eventlog::Severity;
 use crate::gateway::message_fields::ResponseFields;
+use crate::gateway::message_fields::StatedLimit;
 use crate::gateway::message_fields::UpstreamFields;
 use crate::gateway::message_fields::part_list;
 use crate::platform::headers;
@@ -307,6 +308,15 @@
     if let Some(load) = outcome.load {
         worker.on_response_load(load, now_ms);
     }
+    if outcome.limit != StatedLimit::None {
+        let label = [call.service.as_str()];
+        gateway.metrics.limited_responses_total.with_label_values(&label).inc();
+    }
+    if worker.stated_limit != outcome.limit {
+        worker.stated_limit = outcome.limit;
+        let line = gateway.log.line(events::LIMIT_STATED, Severity::Notable);
+        line.text("worker", &chosen.id).text("requests_per_s", outcome.limit).emit();
+    }
     match (&call.target, status) {
         (Some(target), StatusCode::MISDIRECTED_REQUEST) => {
             worker.on_absent(&target.model, target.adapter.as_deref(), now_ms);
--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -7,6 +7,7 @@
 
 use crate::gateway::catalog::Catalog;
 use crate::gateway::message_fields::ReportedLoad;
+use crate::gateway::message_fields::StatedLimit;
 use crate::gateway::peers::FleetStatus;
 use crate::gateway::peers::Tag;
 use crate::gateway::peers::WorkerLoad;
@@ -114,6 +115,8 @@
     pub health: Health,
     /// Hash of its id and start time.
     pub key: u64,
+    /// Limit on the rate of its requests that its last response stated.
+    pub stated_limit: StatedLimit,
     // Load from a response, own requests in progress at that time, and the time, in ms.
     response_load: Option<(ReportedLoad, u32, u64)>,
     reported_load: Option<LeadReportedLoad>,
@@ -326,6 +329,7 @@
             in_flight_by_model: Table::new(),
             health: Health::default(),
             key: hashing::stable_hash(&[&record.id, &record.start_unix_ms.to_string()]),
+            stated_limit: StatedLimit::None,
             response_load: None,
             reported_load: None,
             view: None,
--- a/lovageridge/src/gateway/message_fields.rs
+++ b/lovageridge/src/gateway/message_fields.rs
@@ -52,6 +52,28 @@
     pub last_event_id: Option<&'a str>,
 }
 
+/// Limit on the rate of requests, over all instances, in a worker's response.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum StatedLimit {
+    /// The worker states no limit.
+    #[default]
+    None,
+    /// The worker takes this many requests in 1000 s.
+    PerKs(u32),
+    /// The worker states a limit that is not a number.
+    Invalid,
+}
+
+impl Display for StatedLimit {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::None => write!(formatter, "none"),
+            Self::PerKs(per_ks) => write!(formatter, "{}", f64::from(*per_ks) / 1000.0),
+            Self::Invalid => write!(formatter, "invalid"),
+        }
+    }
+}
+
 /// Load that a worker reports in a response.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReportedLoad {
@@ -74,6 +96,8 @@
     pub encoded: bool,
     /// Load that the worker reports; `None` if it reports none.
     pub load: Option<ReportedLoad>,
+    /// Limit on the rate of requests that the worker states.
+    pub limit: StatedLimit,
     /// Time after which the worker closes an idle connection, in ms.
     pub idle_timeout_ms: Option<u64>,
     /// The worker closes the connection after the response.
--- a/lovageridge/src/gateway/metrics.rs
+++ b/lovageridge/src/gateway/metrics.rs
@@ -31,6 +31,8 @@
     pub blocked_parts: IntGauge,
     /// Requests refused because of a blocked prompt part.
     pub blocked_requests_total: IntCounter,
+    /// Responses of workers that state a limit on their requests, by service.
+    pub limited_responses_total: IntCounterVec,
     /// Retries refused by the retry budget, by service.
     pub budget_refused_total: IntCounterVec,
     /// Time that requests waited for a model that no worker held, by route, in seconds.
@@ -117,6 +119,11 @@
                 "gateway_blocked_requests_total",
                 "Requests refused because of a blocked prompt part",
             )?,
+            limited_responses_total: counters(
+                "gateway_limited_responses_total",
+                "Responses that state a limit on requests",
+                &["service"],
+            )?,
             budget_refused_total: counters(
                 "gateway_budget_refused_total",
                 "Repeated sends refused by the budget",
--- a/lovageridge/src/platform/headers.rs
+++ b/lovageridge/src/platform/headers.rs
@@ -8,6 +8,7 @@
 use crate::gateway::message_fields::ReportedLoad;
 use crate::gateway::message_fields::RequestFields;
 use crate::gateway::message_fields::ResponseFields;
+use crate::gateway::message_fields::StatedLimit;
 use crate::gateway::message_fields::UpstreamFields;
 use crate::hashing;
 
@@ -20,6 +21,7 @@
 const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-lovageridge-not-executed");
 const RECEIPT: HeaderName = HeaderName::from_static("x-lovageridge-server-seal");
+const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const LOAD: HeaderName = HeaderName::from_static("x-lovageridge-server-load");
 
 /// Largest number of prompt parts that are used; longer lists are cut.
@@ -130,6 +132,7 @@
         has_receipt: headers.contains_key(RECEIPT),
         encoded: headers.contains_key(hyper::header::CONTENT_ENCODING),
         load: text(&LOAD).and_then(parse_load),
+        limit: headers.get(&LIMIT).map_or(StatedLimit::None, parse_limit),
         idle_timeout_ms: text(&HeaderName::from_static("keep-alive")).and_then(parse_keep_alive_ms),
         closes_connection: text(&hyper::header::CONNECTION)
             .is_some_and(|value| value.eq_ignore_ascii_case("close")),
@@ -143,6 +146,15 @@
     Some(ReportedLoad { running, waiting })
 }
 
+fn parse_limit(value: &HeaderValue) -> StatedLimit {
+    let per_s = value.to_str().ok().and_then(|text| text.trim().parse::<f64>().ok());
+    match per_s {
+        // Larger numbers saturate.
+        Some(per_s) if per_s >= 0.0 => StatedLimit::PerKs((per_s * 1000.0) as u32),
+        _ => StatedLimit::Invalid,
+    }
+}
+
 fn parse_keep_alive_ms(text: &str) -> Option<u64> {
     let timeout = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
     timeout.trim().parse::<u64>().ok().map(|seconds| seconds * 1000)
--- a/lovageridge/src/platform/tests.rs
+++ b/lovageridge/src/platform/tests.rs
@@ -6,6 +6,7 @@
 use test_case::test_case;
 
 use crate::gateway::catalog::RouteKind;
+use crate::gateway::message_fields::StatedLimit;
 use crate::gateway::message_fields::UpstreamFields;
 use crate::gateway::orders::Order;
 use crate::gateway::orders::OrderKind;
@@ -200,6 +201,20 @@
     }
 }
 
+#[test_case("4.25", StatedLimit::PerKs(4250); "a decimal number")]
+#[test_case("0", StatedLimit::PerKs(0); "zero")]
+#[test_case("1e300", StatedLimit::PerKs(u32::MAX); "a huge number")]
+#[test_case("-1", StatedLimit::Invalid; "a negative number")]
+#[test_case("NaN", StatedLimit::Invalid; "not a number")]
+#[test_case("soon", StatedLimit::Invalid; "a word")]
+#[test_case("", StatedLimit::Invalid; "nothing")]
+fn a_limit_of_a_worker_is_parsed(text: &str, expected: StatedLimit) {
+    let mut headers = HeaderMap::new();
+    assert_eq!(headers::parse_response(&headers).limit, StatedLimit::None);
+    headers.insert("server-limit", HeaderValue::from_str(text).expect("a header value"));
+    assert_eq!(headers::parse_response(&headers).limit, expected);
+}
+
 #[test_case("a:1,b:2,c:3", 2; "the last part is left out")]
 #[test_case("a:1", 0; "one part")]
 #[test_case("", 0; "nothing")]
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -140,4 +140,6 @@
     PART_UNBLOCKED = 732 "part_unblocked";
     /// A request with a blocked prompt part is sent to a worker.
     PART_PROBED = 733 "part_probed";
+    /// A worker stated another limit on its requests than before, or none any longer.
+    LIMIT_STATED = 734 "limit_stated";
 }
