--- a/lovageridge/tests/gateway.rs
+++ b/lovageridge/tests/gateway.rs
@@ -10,6 +10,8 @@
 mod hostile;
 #[path = "gateway/lead.rs"]
 mod lead;
+#[path = "gateway/limits.rs"]
+mod limits;
 #[path = "gateway/requests.rs"]
 mod requests;
 #[path = "gateway/settings.rs"]
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -130,6 +130,9 @@
 struct State {
     behavior: Option<Behavior>,
     crash: Option<Crash>,
+    // Value of the header that limits the requests a second, if any.
+    limit: Option<String>,
+    arrivals: Vec<Instant>,
     born_ms: u64,
     resident_models: Vec<String>,
     busy_until: Option<Instant>,
@@ -209,6 +212,16 @@
         self.shared.lock().crash = Some(crash);
     }
 
+    /// Names a limit on the requests a second in all responses from now on, or none.
+    pub fn set_limit(&self, limit: Option<&str>) {
+        self.shared.lock().limit = limit.map(str::to_owned);
+    }
+
+    /// Returns when requests arrived, in order, including refused ones.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.shared.lock().arrivals.clone()
+    }
+
     /// Returns the start time of the worker, as Unix time in ms; it changes with a crash.
     pub fn born_ms(&self) -> u64 {
         self.shared.lock().born_ms
@@ -298,6 +311,7 @@
             _ => {}
         }
         self.lock().requests += 1;
+        self.lock().arrivals.push(Instant::now());
         let behavior = self.lock().behavior.unwrap_or(Behavior::Normal);
         let target = request.header("x-lovageridge-model").map(|name| name.split('/').next());
         if target.flatten().is_some_and(|model| !resident.iter().any(|name| name == model)) {
@@ -335,6 +349,11 @@
         state.runs.len() - 1
     }
 
+    fn limit_header(&self) -> String {
+        let limit = self.lock().limit.clone();
+        limit.map(|limit| format!("Server-Limit: {limit}\r\n")).unwrap_or_default()
+    }
+
     fn response_head(&self, request: &Request, status: &str, behavior: Behavior) -> String {
         let id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
         let id = if behavior == Behavior::WrongId { "another" } else { id };
@@ -342,7 +361,8 @@
             Behavior::MissingReceipt => String::new(),
             _ => format!("X-Lovageridge-Server-Seal: seal-{}\r\n", self.id),
         };
-        format!("HTTP/1.1 {status}\r\nX-Lovageridge-Attempt-Id: {id}\r\n{receipt}")
+        let limit = self.limit_header();
+        format!("HTTP/1.1 {status}\r\nX-Lovageridge-Attempt-Id: {id}\r\n{receipt}{limit}")
     }
 
     /// Runs a plain call; returns `None` when the caller disconnected, else whether the connection
@@ -485,8 +505,9 @@
         let id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
         let text = format!(
             "HTTP/1.1 {status}\r\nX-Lovageridge-Attempt-Id: {id}\r\nX-Lovageridge-Not-Executed: 1\r\n\
-             X-Lovageridge-Instance-Id: {}\r\nContent-Length: 0\r\n\r\n",
-            self.id
+             X-Lovageridge-Instance-Id: {}\r\n{}Content-Length: 0\r\n\r\n",
+            self.id,
+            self.limit_header()
         );
         stream.write_all(text.as_bytes()).is_ok()
     }
