Keep the limits that workers state over all instances together

A worker in need that had named a limit of one request a second got 28 in 4 s.

Cause: the header was not read, and a limit over all instances was left to nobody. Dividing it does not help: one a second over 90 instances lets each send its first request at once. Each send to a limited worker is now granted by one instance, chosen by rendezvous hashing; workers without a limit go first; requests wait for a send for up to 2 s or are refused at once with the time of the next one; the planner loads models elsewhere that only limited workers hold.

--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -16,6 +16,7 @@
 pub mod eventlog;
 pub mod fleet;
 pub mod lead;
+pub mod limits;
 pub mod message_fields;
 pub mod metrics;
 pub mod orders;
@@ -48,6 +49,7 @@
 use crate::gateway::eventlog::EventLog;
 use crate::gateway::fleet::Fleet;
 use crate::gateway::lead::Election;
+use crate::gateway::limits::driver::LimitTracker;
 use crate::gateway::metrics::GatewayMetrics;
 use crate::gateway::peers::Peers;
 use crate::gateway::pool::Pool;
@@ -102,6 +104,8 @@
     pub planning_due: Notify,
     /// Prompt parts whose requests crash workers.
     pub crashes: CrashTracker,
+    /// Sends to workers that limit them.
+    pub limits: LimitTracker,
     /// Requests that wait for a model to be loaded.
     pub waits: RefCell<WaitingRequests>,
     /// Notified when the waiting requests have to be reported to the lead.
@@ -154,6 +158,7 @@
             fleet: RefCell::default(),
             planning_due: Notify::new(),
             crashes: CrashTracker::default(),
+            limits: LimitTracker::default(),
             waits: RefCell::default(),
             demand_report_due: Notify::new(),
             log,
--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -32,12 +32,15 @@
 use crate::gateway::directory::choose::ChooseError;
 use crate::gateway::directory::choose::Requirements;
 use crate::gateway::directory::choose::choose;
+use crate::gateway::directory::choose::limited_until_ms;
 use crate::gateway::eventlog::Severity;
+use crate::gateway::limits;
 use crate::gateway::message_fields::RequestFields;
 use crate::gateway::message_fields::ResponseFields;
 use crate::gateway::relay::Relay;
 use crate::gateway::response::Refusal;
 use crate::gateway::response::ResponseBody;
+use crate::gateway::settings::GatewaySettings;
 use crate::gateway::waits::Target;
 use crate::platform::headers;
 use crate::telemetry::events;
@@ -88,6 +91,8 @@
 /// Retry-After of an instance in a partitioned domain, in ms. The load balancer fails over after
 /// two probes, one second apart, so by then it sends callers elsewhere.
 const RETRY_AFTER_PARTITIONED_MS: u64 = 1500;
+/// Wait after which it is checked again whether the worker can serve the request, in ms.
+const LIMIT_RECHECK_MS: u64 = 50;
 /// Longest interval between attempts to find a worker while a request waits for a model.
 const WORKER_POLL_INTERVAL: Duration = Duration::from_millis(120);
 
@@ -250,7 +255,7 @@
         let wait_until_ms = call.wait_until_ms(call.arrived_ms);
         let chosen = tokio::select! {
             biased;
-            chosen = wait_for_worker(gateway, call, &attempts.workers, wait_until_ms) => chosen?,
+            chosen = acquire_worker(gateway, call, &attempts.workers, wait_until_ms) => chosen?,
             // A request that starts now might not finish before the process is killed.
             () = gateway.wait_until_refusing() => {
                 return Err(Refusal::not_run("the instance is stopping", RETRY_AFTER_STOPPING_MS));
@@ -358,6 +363,22 @@
     Ok(())
 }
 
+fn requirements<'a>(
+    call: &'a Call,
+    settings: &'a GatewaySettings,
+    tried: &'a [String],
+    skip_avoided: bool,
+) -> Requirements<'a> {
+    Requirements {
+        service: &call.service,
+        model: call.target.as_ref().map(|target| target.model.as_str()),
+        adapter: call.target.as_ref().and_then(|target| target.adapter.as_deref()),
+        domain: &settings.domain,
+        tried,
+        skip_avoided,
+    }
+}
+
 fn find_worker(
     gateway: &Gateway,
     call: &Call,
@@ -366,14 +387,8 @@
 ) -> Result<ChosenWorker, ChooseError> {
     let now_ms = gateway.now_ms();
     let directory = gateway.directory.borrow();
-    let requirements = Requirements {
-        service: &call.service,
-        model: call.target.as_ref().map(|target| target.model.as_str()),
-        adapter: call.target.as_ref().and_then(|target| target.adapter.as_deref()),
-        domain: &gateway.settings().domain,
-        tried,
-        skip_avoided,
-    };
+    let settings = gateway.settings();
+    let requirements = requirements(call, &settings, tried, skip_avoided);
     let worker = choose(&directory, &requirements, now_ms, rand::random::<f64>)?;
     Ok(ChosenWorker {
         id: worker.record.id.clone(),
@@ -397,6 +412,75 @@
     }
 }
 
+/// Returns a worker for the request, to which it may be sent under the worker's limit.
+async fn acquire_worker(
+    gateway: &Rc<Gateway>,
+    call: &Call,
+    tried: &[String],
+    wait_until_ms: u64,
+) -> Result<ChosenWorker, Refusal> {
+    loop {
+        let chosen = wait_for_worker(gateway, call, tried, wait_until_ms).await?;
+        if !limits::driver::is_limited(gateway, &chosen.id) {
+            return Ok(chosen);
+        }
+        let chosen_ms = gateway.now_ms();
+        let others: Vec<String> = tried.iter().chain([&chosen.id]).cloned().collect();
+        let has_other_worker = find_worker(gateway, call, &others, true).is_ok();
+        let max_wait_ms = match has_other_worker {
+            true => 0,
+            false => wait_until_ms.saturating_sub(chosen_ms).min(limits::WAIT_MAX_MS),
+        };
+        let acquired = limits::driver::acquire(gateway, &chosen.id, max_wait_ms).await;
+        let waited_ms = gateway.now_ms() - chosen_ms;
+        if acquired && (waited_ms <= LIMIT_RECHECK_MS || is_usable(gateway, call, &chosen)) {
+            return Ok(chosen);
+        }
+    }
+}
+
+/// Returns whether a worker that was chosen earlier can still serve the request.
+fn is_usable(gateway: &Gateway, call: &Call, chosen: &ChosenWorker) -> bool {
+    let now_ms = gateway.now_ms();
+    let directory = gateway.directory.borrow();
+    let Some(worker) = directory.get(&chosen.id) else { return false };
+    let holds = call
+        .target
+        .as_ref()
+        .is_none_or(|target| worker.holds(&target.model, target.adapter.as_deref(), now_ms));
+    let blocked = gateway.crashes.ledger.borrow().blocked_among(&call.fields.prompt_parts);
+    holds && worker.accepts_new_requests(now_ms) && (blocked.is_empty() || call.is_probe.get())
+}
+
+/// Waits while all workers for the request are at their limits; returns whether it did.
+///
+/// # Errors
+/// Refuses the request if none of them takes it in time.
+async fn wait_for_limit(
+    gateway: &Gateway,
+    call: &Call,
+    tried: &[String],
+    wait_until_ms: u64,
+) -> Result<bool, Refusal> {
+    let now_ms = gateway.now_ms();
+    let until_ms = {
+        let settings = gateway.settings();
+        let directory = gateway.directory.borrow();
+        limited_until_ms(&directory, &requirements(call, &settings, tried, true), now_ms)
+    };
+    let Some(until_ms) = until_ms else { return Ok(false) };
+    if until_ms >= wait_until_ms {
+        let jitter_ms = (until_ms - now_ms) as f64 * RETRY_AFTER_JITTER * rand::random::<f64>();
+        let retry_after_ms = until_ms - now_ms + jitter_ms as u64;
+        return Err(Refusal::not_run("all workers are at their limits", retry_after_ms));
+    }
+    let changed = gateway.state_changed.notified();
+    let poll_interval = WORKER_POLL_INTERVAL.min(Duration::from_millis(until_ms - now_ms));
+    // Search again without a change as well: another worker may become usable.
+    let _ = timeout(poll_interval, changed).await;
+    Ok(true)
+}
+
 /// Returns a worker for the request, after waiting for its model to be loaded if necessary.
 async fn wait_for_worker(
     gateway: &Gateway,
@@ -428,6 +512,11 @@
                 RETRY_AFTER_UNKNOWN_MS,
             ));
         }
+        if choose_error == ChooseError::NoneEligible
+            && wait_for_limit(gateway, call, tried, wait_until_ms).await?
+        {
+            continue;
+        }
         let Some(target) = &call.target else {
             // Plain services need no model, so waiting would not help: use any worker.
             let any_worker = find_worker(gateway, call, tried, false)
@@ -597,7 +686,7 @@
 ) -> Option<IncomingResponse> {
     let wait_until_ms = call.wait_until_ms(gateway.now_ms());
     while may_retry(gateway, call, attempts) {
-        let chosen = wait_for_worker(gateway, call, &attempts.workers, wait_until_ms).await.ok()?;
+        let chosen = acquire_worker(gateway, call, &attempts.workers, wait_until_ms).await.ok()?;
         let timeout_ms = send_timeout_ms(gateway, call, attempts, &chosen);
         match send(gateway, call, &chosen, attempts, last_event_id, timeout_ms).await {
             SendResult::Responded(incoming) if incoming.response.status().is_success() => {
--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -23,6 +23,7 @@
 use crate::gateway::connection::limit_interim_responses;
 use crate::gateway::crashes;
 use crate::gateway::eventlog::Severity;
+use crate::gateway::limits;
 use crate::gateway::message_fields::ResponseFields;
 use crate::gateway::message_fields::StatedLimit;
 use crate::gateway::message_fields::UpstreamFields;
@@ -312,11 +313,7 @@
         let label = [call.service.as_str()];
         gateway.metrics.limited_responses_total.with_label_values(&label).inc();
     }
-    if worker.stated_limit != outcome.limit {
-        worker.stated_limit = outcome.limit;
-        let line = gateway.log.line(events::LIMIT_STATED, Severity::Notable);
-        line.text("worker", &chosen.id).text("requests_per_s", outcome.limit).emit();
-    }
+    limits::driver::on_response(gateway, worker, outcome.limit, now_ms - first_byte_ms);
     match (&call.target, status) {
         (Some(target), StatusCode::MISDIRECTED_REQUEST) => {
             worker.on_absent(&target.model, target.adapter.as_deref(), now_ms);
--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -6,8 +6,8 @@
 use serde::Serialize;
 
 use crate::gateway::catalog::Catalog;
+use crate::gateway::limits::KnownLimit;
 use crate::gateway::message_fields::ReportedLoad;
-use crate::gateway::message_fields::StatedLimit;
 use crate::gateway::peers::FleetStatus;
 use crate::gateway::peers::Tag;
 use crate::gateway::peers::WorkerLoad;
@@ -115,8 +115,12 @@
     pub health: Health,
     /// Hash of its id and start time.
     pub key: u64,
-    /// Limit on the rate of its requests that its last response stated.
-    pub stated_limit: StatedLimit,
+    /// Limit that it states on the rate of its requests.
+    pub limit: KnownLimit,
+    /// Time until which it gets no requests because of its limit, in ms.
+    pub limited_until_ms: u64,
+    /// Time at which other instances were last told of its limit, in ms.
+    pub limit_told_ms: u64,
     // Load from a response, own requests in progress at that time, and the time, in ms.
     response_load: Option<(ReportedLoad, u32, u64)>,
     reported_load: Option<LeadReportedLoad>,
@@ -282,6 +286,16 @@
         self.workers.get_mut(id)
     }
 
+    /// Returns the worker with this hash of its id and start time, if it is known.
+    pub fn get_by_key(&self, key: u64) -> Option<&Worker> {
+        self.iter().find(|worker| worker.key == key)
+    }
+
+    /// Returns the worker with this hash of its id and start time for changes, if it is known.
+    pub fn get_by_key_mut(&mut self, key: u64) -> Option<&mut Worker> {
+        self.workers.iter_mut().map(|(_, worker)| worker).find(|worker| worker.key == key)
+    }
+
     /// Iterates over all workers.
     pub fn iter(&self) -> impl Iterator<Item = &Worker> {
         self.workers.values()
@@ -329,7 +343,9 @@
             in_flight_by_model: Table::new(),
             health: Health::default(),
             key: hashing::stable_hash(&[&record.id, &record.start_unix_ms.to_string()]),
-            stated_limit: StatedLimit::None,
+            limit: KnownLimit::default(),
+            limited_until_ms: 0,
+            limit_told_ms: 0,
             response_load: None,
             reported_load: None,
             view: None,
@@ -343,6 +359,11 @@
         self.expires_ms.is_some_and(|expires_ms| now_ms >= expires_ms)
     }
 
+    /// Returns whether its limit allows no request now.
+    pub fn is_at_limit(&self, now_ms: u64) -> bool {
+        now_ms < self.limited_until_ms && self.limit.per_ks(now_ms).is_some()
+    }
+
     /// Returns whether new requests may be sent to the worker.
     pub fn accepts_new_requests(&self, now_ms: u64) -> bool {
         !self.record.leaving && !self.has_expired(now_ms)
--- a/lovageridge/src/gateway/directory/choose.rs
+++ b/lovageridge/src/gateway/directory/choose.rs
@@ -13,6 +13,9 @@
 const FAILURE_WEIGHT: f64 = 24.0;
 /// Cost factor of an avoided worker, so that it is chosen only if no other is left.
 const AVOIDED_FACTOR: f64 = 50.0;
+/// Cost factor of a worker that limits its requests, so that its limit is left for requests that only
+/// it can serve.
+const LIMITED_FACTOR: f64 = 4.0;
 /// Largest random addition to a cost, relative to it, so that instances do not all choose the same
 /// worker among equals.
 const TIE_JITTER: f64 = 0.05;
@@ -73,7 +76,7 @@
     };
     let is_eligible = |worker: &&Worker| {
         let avoided = requirements.skip_avoided && worker.health.is_avoided(now_ms);
-        !avoided && !requirements.tried.contains(&worker.record.id)
+        !avoided && !worker.is_at_limit(now_ms) && !requirements.tried.contains(&worker.record.id)
     };
     let ready: Vec<&Worker> = directory.iter().filter(is_ready).collect();
     if ready.is_empty() {
@@ -99,6 +102,26 @@
     scored.get(index).map(|(worker, _)| *worker).ok_or(ChooseError::NoneEligible)
 }
 
+/// Returns the time at which the first worker that meets `requirements` but for its limit takes a
+/// request again, in ms; `None` if there is no such worker.
+pub fn limited_until_ms(
+    directory: &Directory,
+    requirements: &Requirements<'_>,
+    now_ms: u64,
+) -> Option<u64> {
+    let meets = |worker: &&Worker| {
+        worker.record.service == requirements.service
+            && worker.accepts_new_requests(now_ms)
+            && requirements
+                .model
+                .is_none_or(|model| worker.holds(model, requirements.adapter, now_ms))
+            && !(requirements.skip_avoided && worker.health.is_avoided(now_ms))
+            && !requirements.tried.contains(&worker.record.id)
+            && worker.is_at_limit(now_ms)
+    };
+    directory.iter().filter(meets).map(|worker| worker.limited_until_ms).min()
+}
+
 /// Estimates the requests that other instances have sent to a worker since the lead's last report.
 fn unreported_requests(worker: &Worker, now_ms: u64) -> f64 {
     let age_ms = worker.reported_load_age_ms(now_ms).unwrap_or(0).min(REQUEST_DURATION_MS);
@@ -146,8 +169,11 @@
     };
     let failure_factor = 1.0 + FAILURE_WEIGHT * worker.health.failure_rate(now_ms);
     let avoided_factor = if worker.health.is_avoided(now_ms) { AVOIDED_FACTOR } else { 1.0 };
+    let is_limited = worker.limit.per_ks(now_ms).is_some();
+    let limited_factor = if is_limited { LIMITED_FACTOR } else { 1.0 };
     (f64::from(worker.load_estimate(now_ms)) + BASE_REQUESTS + domain_requests)
         * latency_factor
         * failure_factor
         * avoided_factor
+        * limited_factor
 }
--- a/lovageridge/src/gateway/fleet.rs
+++ b/lovageridge/src/gateway/fleet.rs
@@ -15,6 +15,7 @@
 
 pub mod driver;
 mod plan;
+mod replicas;
 pub mod residency;
 mod store_limiter;
 pub mod worker;
--- a/lovageridge/src/gateway/fleet/driver.rs
+++ b/lovageridge/src/gateway/fleet/driver.rs
@@ -61,6 +61,12 @@
     let catalog = gateway.catalog()?;
     let mut fleet = gateway.fleet.borrow_mut();
     let fleet = fleet.as_mut()?;
+    for worker in gateway.directory.borrow().iter() {
+        if let Some(state) = fleet.worker_mut(&worker.record.id) {
+            let per_ks = worker.limit.per_ks(now_ms);
+            state.limit_per_s = per_ks.map(|per_ks| f64::from(per_ks) / 1000.0);
+        }
+    }
     let may_order = gateway.election.borrow().may_order(gateway.settings().workers_check, now_ms);
     let calls = fleet.tick(&catalog, may_order, gateway.settings().load_window_ms, now_ms);
     for decision in fleet.take_decisions() {
--- a/lovageridge/src/gateway/fleet/plan.rs
+++ b/lovageridge/src/gateway/fleet/plan.rs
@@ -34,17 +34,14 @@
 /// Highest cost of evictions per waiting request, in ms: about the time for which callers wait.
 const MAX_COST_PER_WAITING_REQUEST_MS: f64 = 8000.0;
 /// Concurrent requests that one replica serves well along with the other load of its worker.
-const RUNNING_REQUESTS_PER_REPLICA: u32 = 16;
-/// Requests per second from which a model gets a second replica.
-const SECOND_REPLICA_RATE: f64 = 3.0;
-/// Highest cost of evictions for a further replica, in ms per request per second that the model
-/// gets: about the waiting time that an overloaded worker adds to each request.
-const MAX_REPLICA_COST_PER_RATE_MS: f64 = 1000.0;
+pub(super) const RUNNING_REQUESTS_PER_REPLICA: u32 = 16;
 /// Added to the cost of a placement in a failure domain that already has a replica, in ms: a
 /// network partition or the failure of the domain would affect both.
 const SAME_DOMAIN_PENALTY_MS: f64 = 1500.0;
 /// Requests per second from which free memory is used for a further replica of a model.
 const PRELOAD_REPLICA_RATE: f64 = 0.15;
+/// Additional cost of a placement on a worker that limits its requests, in ms per waiting request.
+const LIMITED_PENALTY_MS: f64 = 2000.0;
 /// Share of the permitted rate of loads from the weight store that is used, in percent.
 const STORE_BUDGET_PCT: f64 = 80.0;
 /// Time since its last request during which a model that is only in the weight store counts as in
@@ -68,12 +65,12 @@
 }
 
 /// A worker on which a model can be loaded, with the required evictions.
-struct ModelPlacement {
+pub(super) struct ModelPlacement {
     worker: String,
     evict: Vec<String>,
     load_ms: u64,
-    eviction_cost_ms: f64,
-    from_store: bool,
+    pub(super) eviction_cost_ms: f64,
+    pub(super) from_store: bool,
     evicts_running: bool,
 }
 
@@ -287,8 +284,14 @@
             return None;
         }
         let waiting_requests = f64::from(demand.waiting.max(1));
-        let placement =
-            self.best_placement(engine, &demand.service, &demand.model, waiting_requests, now_ms)?;
+        let placement = self.best_placement(
+            engine,
+            &demand.service,
+            &demand.model,
+            waiting_requests,
+            false,
+            now_ms,
+        )?;
         self.plan_load(placement, &demand.model, load_window_ms, engine, now_ms);
         None
     }
@@ -348,20 +351,24 @@
     }
 
     /// Returns the placement of `model` that adds least waiting time, if `waiting_requests`
-    /// requests wait for the model.
-    fn best_placement(
+    /// requests wait for the model. With `skip_limited`, workers that limit their requests are
+    /// excluded.
+    pub(super) fn best_placement(
         &self,
         engine: &Engine,
         service: &str,
         model: &str,
         waiting_requests: f64,
+        skip_limited: bool,
         now_ms: u64,
     ) -> Option<ModelPlacement> {
         let model_info = engine.models.get(model)?;
         let is_cached = self.is_cached_on_any_worker(service, model);
         let mut best: Option<(f64, ModelPlacement)> = None;
         for worker in self.workers.values() {
-            let is_candidate = worker.service == service && !worker.models.contains(model);
+            let is_candidate = worker.service == service
+                && !worker.models.contains(model)
+                && !(skip_limited && worker.limit_per_s.is_some());
             if !is_candidate || !worker.can_start_load(now_ms) {
                 continue;
             }
@@ -388,7 +395,11 @@
                 other.service == service && other.domain == worker.domain && other.is_ready(model)
             });
             let domain_penalty_ms = if domain_has_replica { SAME_DOMAIN_PENALTY_MS } else { 0.0 };
-            let cost = waiting_requests * load_ms as f64 + eviction_cost_ms + domain_penalty_ms;
+            let limit_penalty_ms =
+                if worker.limit_per_s.is_some() { LIMITED_PENALTY_MS } else { 0.0 };
+            let cost = waiting_requests * (load_ms as f64 + limit_penalty_ms)
+                + eviction_cost_ms
+                + domain_penalty_ms;
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
                 let evicts_running =
                     evict.iter().any(|name| self.running_requests(&worker.id, name, now_ms) > 0);
@@ -465,33 +476,30 @@
         let other_replicas =
             self.replica_count(&worker.service, model, now_ms).saturating_sub(1) as u32;
         let running = self.running_requests_total(model, now_ms);
-        let others_suffice =
-            other_replicas > 0 && running <= other_replicas * RUNNING_REQUESTS_PER_REPLICA;
+        let others_suffice = other_replicas > 0
+            && running <= other_replicas * RUNNING_REQUESTS_PER_REPLICA
+            && !self.is_short_of_limits(&worker.service, model, Some(&worker.id), now_ms);
         let is_busy = self.running_requests(&worker.id, model, now_ms) > 0;
         let factor = if others_suffice { REPLICATED_COST_FACTOR } else { 1.0 };
         cost_ms * factor + if is_busy { BUSY_EVICTION_COST_MS } else { 0.0 }
     }
 
     /// Returns the expected requests per second for `model`.
-    fn expected_rate(&self, engine: &Engine, service: &str, model: &str, now_ms: u64) -> f64 {
+    pub(super) fn expected_rate(
+        &self,
+        engine: &Engine,
+        service: &str,
+        model: &str,
+        now_ms: u64,
+    ) -> f64 {
         let adapters = engine.models.get(model).map_or(0, |model| model.adapter_count);
         let prior = PRIOR_RATE + PRIOR_RATE_PER_ADAPTER * f64::from(adapters);
         self.rate_per_s(service, model, now_ms).max(prior)
     }
 
-    /// Returns the number of replicas that are ready, being loaded or planned.
-    fn replica_count(&self, service: &str, model: &str, now_ms: u64) -> usize {
-        let workers = self.workers.values().filter(|worker| {
-            worker.service == service && !worker.leaving && worker.is_responsive()
-        });
-        workers
-            .filter(|worker| worker.is_ready(model) || worker.is_load_underway(model, now_ms))
-            .count()
-    }
-
     /// Plans a load on the worker of `placement`, unless that would exceed the limits on loads from
     /// the weight store.
-    fn plan_load(
+    pub(super) fn plan_load(
         &mut self,
         placement: ModelPlacement,
         model: &str,
@@ -543,43 +551,6 @@
             .count()
     }
 
-    /// Adds a second replica of busy models, so that one remains when a worker fails, and further
-    /// replicas of models with many requests in progress.
-    fn add_replicas(&mut self, catalog: &Catalog, load_window_ms: u64, now_ms: u64) {
-        let busy: Vec<(String, String)> = self
-            .usage
-            .iter()
-            .filter(|((_, name), usage)| {
-                usage.rate_per_s(now_ms) >= SECOND_REPLICA_RATE
-                    || self.running_requests_total(name, now_ms) > RUNNING_REQUESTS_PER_REPLICA
-            })
-            .map(|(key, _)| key.clone())
-            .collect();
-        for (service, model) in busy {
-            let Some(engine) = catalog.engine(&service) else { continue };
-            let rate = self.rate_per_s(&service, &model, now_ms);
-            let replicas_for_rate = 1 + usize::from(rate >= SECOND_REPLICA_RATE);
-            let running = self.running_requests_total(&model, now_ms);
-            let replicas_for_running = 1 + (running / RUNNING_REQUESTS_PER_REPLICA) as usize;
-            if self.replica_count(&service, &model, now_ms)
-                >= replicas_for_rate.max(replicas_for_running)
-            {
-                continue;
-            }
-            if self.workers.values().any(|worker| worker.is_load_underway(&model, now_ms)) {
-                continue;
-            }
-            let Some(placement) = self.best_placement(engine, &service, &model, 1.0, now_ms) else {
-                continue;
-            };
-            if placement.eviction_cost_ms <= rate * MAX_REPLICA_COST_PER_RATE_MS
-                && !placement.from_store
-            {
-                self.plan_load(placement, &model, load_window_ms, engine, now_ms);
-            }
-        }
-    }
-
     /// Loads into free memory those cached models that are most likely to be requested.
     fn preload_into_free_memory(&mut self, catalog: &Catalog, now_ms: u64) {
         let idle_workers: Vec<String> = self
--- a/lovageridge/src/gateway/fleet/tests.rs
+++ b/lovageridge/src/gateway/fleet/tests.rs
@@ -519,6 +519,31 @@
     assert!(domains.len() >= 3, "{} replicas", domains.len());
 }
 
+/// Guards against requests for a model that wait although other workers have room: only workers that
+/// limit their requests hold it.
+#[test]
+fn a_model_that_only_limited_workers_hold_is_loaded_elsewhere() {
+    let mut sim = Simulation::new(6, 30);
+    sim.run_for_ms(6000);
+    let is_held = |sim: &Simulation, id: &str| {
+        sim.workers.get(id).is_some_and(|worker| worker.held.contains("m00"))
+    };
+    let ids: Vec<String> = sim.workers.keys().cloned().collect();
+    let limited: Vec<String> = ids.iter().filter(|id| is_held(&sim, id)).cloned().collect();
+    assert!(limited.len() < ids.len());
+    for id in &limited {
+        let state = sim.fleet.worker_mut(id).expect("a known worker");
+        state.limit_per_s = Some(0.5);
+    }
+    // Too few requests for a second replica otherwise.
+    for _ in 0..16 {
+        sim.add_request("m00", None, 400);
+        sim.run_for_ms(500);
+    }
+    let elsewhere = ids.iter().filter(|id| !limited.contains(id) && is_held(&sim, id));
+    assert!(elsewhere.count() > 0, "held only by {limited:?}");
+}
+
 /// The worker with the only replica of a model stops responding.
 #[test]
 fn models_of_an_unresponsive_worker_are_loaded_elsewhere() {
--- a/lovageridge/src/gateway/fleet/worker.rs
+++ b/lovageridge/src/gateway/fleet/worker.rs
@@ -150,6 +150,8 @@
     pub in_memory: Vec<String>,
     /// Models with a copy on disk.
     pub on_disk: Vec<String>,
+    /// Requests per second that it takes from all instances, if it limits them.
+    pub limit_per_s: Option<f64>,
     /// Next load, if one is planned.
     pub pending_load: Option<PendingLoad>,
     /// Whether a call to it is in flight.
@@ -178,6 +180,7 @@
             models: Table::new(),
             in_memory: record.in_memory.clone(),
             on_disk: record.on_disk.clone(),
+            limit_per_s: None,
             pending_load: None,
             call_in_flight: false,
             next_call_ms: 0,
--- /dev/null
+++ b/lovageridge/src/gateway/limits.rs
@@ -0,0 +1,132 @@
+//! Limits that workers state on the rate of their requests, for all instances together.
+//!
+//! For each limited worker, one instance grants the sends of all of them. It is chosen by rendezvous
+//! hashing, so that no election is needed and the work is spread. If it does not answer, the next one
+//! takes its place and starts without saved-up sends.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+pub mod driver;
+pub mod exchange;
+pub mod granting;
+pub mod schedules;
+
+#[cfg(test)]
+mod tests;
+
+/// Time without a response that states it after which a limit is forgotten, in ms.
+const LIMIT_TTL_MS: u64 = 30_000;
+/// Smallest rate that is granted, in requests in 1000 s: a worker that takes none is still asked for
+/// its limit once in a while.
+const RATE_MIN_PER_KS: u32 = 200;
+/// Time for which unused sends are saved up, in ms.
+const BURST_MS: f64 = 500.0;
+/// Longest wait for a send, in ms.
+pub const WAIT_MAX_MS: u64 = 2000;
+/// Relative change of a limit that other instances are told of, in percent.
+const NEWS_PCT: u32 = 10;
+
+/// What an instance knows about the limit of a worker.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct KnownLimit {
+    // Requests in 1000 s, `None` without a limit, and the time at which the request to whose response
+    // the statement belongs was sent, in ms.
+    stated: Option<(Option<u32>, u64)>,
+}
+
+/// A statement of a worker's limit, for other instances.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LimitReport {
+    /// Hash of the worker's id and start time.
+    pub worker: u64,
+    /// Requests in 1000 s; `None` if the worker states no limit any longer.
+    pub per_ks: Option<u32>,
+    /// Time since the statement, in ms.
+    pub age_ms: u64,
+}
+
+impl KnownLimit {
+    /// Applies a statement made at `at_ms`; an older one than the known one is ignored. Returns whether
+    /// it is worth telling others.
+    pub fn on_stated(&mut self, per_ks: Option<u32>, at_ms: u64) -> bool {
+        let before = match self.stated {
+            Some((_, known_at_ms)) if at_ms < known_at_ms => return false,
+            Some((before, _)) => before,
+            None => None,
+        };
+        self.stated = (per_ks.is_some() || self.stated.is_some()).then_some((per_ks, at_ms));
+        match (before, per_ks) {
+            (Some(before), Some(now)) => is_news(before, now),
+            (before, now) => before != now,
+        }
+    }
+
+    /// Returns the limit in requests in 1000 s; `None` if there is none or it is outdated.
+    pub fn per_ks(&self, now_ms: u64) -> Option<u32> {
+        let (per_ks, at_ms) = self.stated?;
+        per_ks.filter(|_| now_ms < at_ms + LIMIT_TTL_MS)
+    }
+
+    /// Returns the time of the statement, in ms; `None` if nothing was ever stated.
+    pub fn stated_ms(&self) -> Option<u64> {
+        self.stated.map(|(_, at_ms)| at_ms)
+    }
+
+    /// Returns the statement with its age; `None` if nothing was ever stated.
+    pub fn report(&self, worker: u64, now_ms: u64) -> Option<LimitReport> {
+        let (per_ks, at_ms) = self.stated?;
+        Some(LimitReport { worker, per_ks, age_ms: now_ms.saturating_sub(at_ms) })
+    }
+}
+
+/// Returns whether a limit has changed noticeably.
+fn is_news(before: u32, now: u32) -> bool {
+    u64::from(before.abs_diff(now)) * 100 > u64::from(before) * u64::from(NEWS_PCT)
+}
+
+/// Answer to a request for a send.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Grant {
+    /// The request may be sent after this time, in ms.
+    After(u64),
+    /// No send is possible within the time that the requester would wait; the next one is possible
+    /// after this time, in ms.
+    Denied(u64),
+}
+
+/// Grants sends to one worker at its limit.
+#[derive(Clone, Copy, Debug)]
+pub struct SendScheduler {
+    // Time up to which the granted sends use up the rate, in ms.
+    used_until_ms: f64,
+    last_used_ms: u64,
+}
+
+impl SendScheduler {
+    /// Returns a scheduler that has saved up nothing.
+    pub fn new(now_ms: u64) -> Self {
+        let used_until_ms = now_ms as f64 + BURST_MS;
+        Self { used_until_ms, last_used_ms: now_ms }
+    }
+
+    /// Grants a send at a rate of `per_ks` requests in 1000 s, if it is possible within `max_wait_ms`.
+    pub fn grant(&mut self, per_ks: u32, max_wait_ms: u64, now_ms: u64) -> Grant {
+        self.last_used_ms = now_ms;
+        let per_ks = per_ks.max(RATE_MIN_PER_KS);
+        let interval_ms = 1_000_000.0 / f64::from(per_ks);
+        let now = now_ms as f64;
+        let used_until_ms = self.used_until_ms.max(now);
+        let wait_ms = (used_until_ms - BURST_MS - now).max(0.0).ceil() as u64;
+        if wait_ms > max_wait_ms {
+            return Grant::Denied(wait_ms);
+        }
+        self.used_until_ms = used_until_ms + interval_ms;
+        Grant::After(wait_ms)
+    }
+
+    /// Returns the time of the last request for a send, in ms.
+    pub fn last_used_ms(&self) -> u64 {
+        self.last_used_ms
+    }
+}
--- a/lovageridge/src/gateway/metrics.rs
+++ b/lovageridge/src/gateway/metrics.rs
@@ -33,6 +33,8 @@
     pub blocked_requests_total: IntCounter,
     /// Responses of workers that state a limit on their requests, by service.
     pub limited_responses_total: IntCounterVec,
+    /// Requests for sends to limited workers, by result.
+    pub limit_grants_total: IntCounterVec,
     /// Retries refused by the retry budget, by service.
     pub budget_refused_total: IntCounterVec,
     /// Time that requests waited for a model that no worker held, by route, in seconds.
@@ -124,6 +126,11 @@
                 "Responses that state a limit on requests",
                 &["service"],
             )?,
+            limit_grants_total: counters(
+                "gateway_limit_grants_total",
+                "Requests for sends to workers that limit them",
+                &["result"],
+            )?,
             budget_refused_total: counters(
                 "gateway_budget_refused_total",
                 "Repeated sends refused by the budget",
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -10,6 +10,8 @@
 
 use crate::gateway::crashes::PartReport;
 use crate::gateway::directory::WorkerView;
+use crate::gateway::limits::Grant;
+use crate::gateway::limits::LimitReport;
 use crate::gateway::sync::view::StoreView;
 use crate::gateway::sync::view::Topic;
 use crate::hashing;
@@ -245,6 +247,28 @@
         /// Whether the receiver should reply with its own digest if it differs.
         reply_requested: bool,
     },
+    /// Limit that a worker has stated.
+    Limit(LimitReport),
+    /// Request for a send to a worker that limits them.
+    GrantRequest {
+        /// Number of the request, unique among those of the sender's process.
+        number: u64,
+        /// Limit as the sender knows it.
+        report: LimitReport,
+        /// Time that the sender would wait before the send, in ms.
+        max_wait_ms: u64,
+        /// Whether the sender passes on the request of another instance.
+        is_relayed: bool,
+    },
+    /// Answer to a `GrantRequest`.
+    Grant {
+        /// Number of the request.
+        number: u64,
+        /// The answer.
+        grant: Grant,
+        /// Limit as the sender knows it; `None` if it knows of none.
+        report: Option<LimitReport>,
+    },
 }
 
 /// Content of a datagram.
--- a/lovageridge/src/gateway/peers/driver.rs
+++ b/lovageridge/src/gateway/peers/driver.rs
@@ -24,6 +24,9 @@
 use crate::gateway::connection::HttpClient;
 use crate::gateway::crashes;
 use crate::gateway::eventlog::Severity;
+use crate::gateway::limits;
+use crate::gateway::limits::driver::SendRequest;
+use crate::gateway::limits::exchange::Requester;
 use crate::gateway::peers;
 use crate::gateway::peers::Demand;
 use crate::gateway::peers::LeadInfo;
@@ -139,6 +142,7 @@
     }
     let now_ms = gateway.now_ms();
     gateway.peers.borrow_mut().on_message(&message, from, now_ms);
+    limits::driver::on_message_from(gateway, &message.sender);
     if let Some(lead) = message.lead {
         step_down_for(gateway, lead.fence);
         announce_to_lead(gateway, &lead);
@@ -160,6 +164,15 @@
             on_residency(gateway, &message.sender, message.incarnation, residency, from);
         }
         Payload::Batch(batch) => sync::apply_batch(gateway, &batch),
+        Payload::Limit(report) => limits::driver::on_report(gateway, &report),
+        Payload::GrantRequest { number, report, max_wait_ms, is_relayed } => {
+            let requester = Requester { addr: from, incarnation: message.incarnation, number };
+            let request = SendRequest { report, max_wait_ms, is_relayed };
+            limits::driver::on_grant_request(gateway, requester, request);
+        }
+        Payload::Grant { number, grant, report } => {
+            limits::driver::on_grant(gateway, number, grant, report.as_ref());
+        }
         Payload::CrashEvidence(reports) => crashes::driver::on_evidence(gateway, &reports),
         Payload::EvidenceDigest { digest, reply_requested } => {
             crashes::driver::on_digest(gateway, digest, reply_requested, from);
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -142,4 +142,6 @@
     PART_PROBED = 733 "part_probed";
     /// A worker stated another limit on its requests than before, or none any longer.
     LIMIT_STATED = 734 "limit_stated";
+    /// The instance that grants sends to a limited worker did not answer.
+    GRANTING_SILENT = 735 "granting_silent";
 }
--- a/lovageridge/tests/gateway/limits.rs
+++ b/lovageridge/tests/gateway/limits.rs
@@ -9,6 +9,7 @@
 use standins::platform::caller::CallerRequest;
 use standins::platform::deployment::Deployment;
 use standins::platform::deployment::engine_worker;
+use standins::platform::deployment::plain_worker;
 
 use crate::deployment;
 
@@ -61,6 +62,10 @@
     served
 }
 
+fn look(number: usize) -> CallerRequest {
+    CallerRequest::get("/look/1", &format!("look{number}-{:?}", Instant::now()))
+}
+
 fn stream(number: usize) -> CallerRequest {
     let id = format!("stream{number}-{:?}", Instant::now());
     CallerRequest::post("/stream/once/1", &id).for_model("m0")
@@ -101,3 +106,71 @@
     assert_eq!((refused, other), (0, 0), "the other worker has room");
     deployment.close();
 }
+
+/// Guards against LIMIT at a plain service without another worker.
+#[test]
+fn a_limit_holds_where_no_other_worker_is_left() {
+    let deployment = deployment(vec![("p0", plain_worker(5))], 3);
+    deployment.worker("p0").set_limit(Some("4"));
+    let named_at = Instant::now();
+    let interval = Duration::from_millis(50);
+    let served = load(&deployment, &[0, 1, 2], look, interval, Duration::from_secs(9));
+    assert_within_limit(&deployment, "p0", 4.0, named_at);
+    // Most of what the worker takes is used.
+    let ok = served.ok.into_inner();
+    assert!(ok >= 26, "{ok} served of 36 that the limit allows");
+    assert_eq!(served.other.into_inner(), 0);
+    deployment.close();
+}
+
+/// Guards against LIMIT while the instances that grant sends freeze, are killed and start again.
+#[test]
+fn a_limit_holds_while_instances_fail() {
+    let workers = vec![("e0", engine_worker(&["m0"])), ("e1", engine_worker(&["m0"]))];
+    let mut deployment = deployment(workers, 5);
+    for id in ["e0", "e1"] {
+        deployment.worker(id).set_limit(Some("2"));
+    }
+    let named_at = Instant::now();
+    let interval = Duration::from_millis(50);
+    load(&deployment, &[0, 1], stream, interval, Duration::from_secs(3));
+    deployment.instances[2].process.pause();
+    load(&deployment, &[0, 1], stream, interval, Duration::from_secs(3));
+    deployment.instances[3].process.kill();
+    deployment.instances[4].process.kill();
+    load(&deployment, &[0, 1], stream, interval, Duration::from_secs(3));
+    deployment.instances[2].process.resume();
+    deployment.restart(3).expect("an instance");
+    deployment.restart(4).expect("an instance");
+    let before: u64 = deployment.workers.iter().map(|worker| worker.requests()).sum();
+    load(&deployment, &[0, 1], stream, interval, Duration::from_secs(4));
+    let after: u64 = deployment.workers.iter().map(|worker| worker.requests()).sum();
+    for id in ["e0", "e1"] {
+        assert_within_limit(&deployment, id, 2.0, named_at);
+    }
+    assert!(after - before >= 10, "{} sent of 16 that the limits allow", after - before);
+    deployment.close();
+}
+
+/// Guards against limits that are kept after they have ended, or dropped when they are no numbers.
+#[test]
+fn a_limit_falls_is_no_number_and_ends() {
+    let deployment = deployment(vec![("p0", plain_worker(5))], 3);
+    let interval = Duration::from_millis(50);
+    let at = [0, 1, 2];
+    deployment.worker("p0").set_limit(Some("12"));
+    load(&deployment, &at, look, interval, Duration::from_secs(2));
+    deployment.worker("p0").set_limit(Some("2"));
+    let fell_at = Instant::now();
+    load(&deployment, &at, look, interval, Duration::from_secs(5));
+    deployment.worker("p0").set_limit(Some("as you like"));
+    load(&deployment, &at, look, interval, Duration::from_secs(5));
+    assert_within_limit(&deployment, "p0", 2.0, fell_at);
+    deployment.worker("p0").set_limit(None);
+    load(&deployment, &at, look, interval, Duration::from_secs(3));
+    let before = deployment.worker("p0").requests();
+    load(&deployment, &at, look, interval, Duration::from_secs(2));
+    let sent = deployment.worker("p0").requests() - before;
+    assert!(sent >= 30, "{sent} of 40 requests sent after the limit has ended");
+    deployment.close();
+}
