Do not pass over a granting instance for one lost answer

An instance whose datagrams to the granting one were lost asked the next, which granted at the full rate beside the first: up to twice the limit. An instance is now passed over only after three requests without an answer or any other message.

--- a/lovageridge/src/gateway/limits/granting.rs
+++ b/lovageridge/src/gateway/limits/granting.rs
@@ -9,8 +9,8 @@
 use crate::sorted::Table;
 
 /// Number of requests without an answer, and without any other message from it, after which an instance
-/// is passed over.
-pub const UNANSWERED_MAX: u32 = 1;
+/// is passed over: a lost datagram alone must not let two instances grant sends to the same worker.
+pub const UNANSWERED_MAX: u32 = 3;
 /// Time for which it is passed over, in ms.
 const SILENT_MS: u64 = 5000;
 
--- a/lovageridge/src/gateway/limits/tests.rs
+++ b/lovageridge/src/gateway/limits/tests.rs
@@ -8,6 +8,7 @@
 use super::*;
 use crate::gateway::limits::granting::GrantingView;
 use crate::gateway::limits::granting::Requested;
+use crate::gateway::limits::granting::UNANSWERED_MAX;
 
 /// Window in which sends are counted, in ms.
 const WINDOW_MS: u64 = 4000;
@@ -117,3 +118,150 @@
     }
     assert!(counts.iter().all(|count| *count < 30), "{counts:?}");
 }
+
+/// Interval at which an instance hears from others, in ms.
+const HEARTBEAT_MS: u64 = 500;
+/// Number of messages that it gets in this time.
+const HEARTBEAT_MESSAGES: usize = 8;
+/// Number of times that a request for a send is made to the same instance.
+const GRANT_SENDS: usize = 2;
+
+/// Key of the worker that the instances send to.
+const WORKER: u64 = 7;
+
+/// Index of the sender and of the receiver of a datagram.
+#[derive(Clone, Copy)]
+struct Path {
+    from: usize,
+    to: usize,
+}
+
+/// An instance that requests sends to one worker and grants them.
+struct Requester {
+    view: GrantingView,
+    scheduler: SendScheduler,
+}
+
+/// Instances that lose a share of their datagrams. The first `cut` ones and the granting instance do not
+/// reach each other at all.
+struct LossyInstances {
+    names: Vec<String>,
+    requesters: Vec<Requester>,
+    loss: f64,
+    cut: usize,
+    granting_at: usize,
+    rng: StdRng,
+}
+
+impl LossyInstances {
+    fn new(count: usize, loss: f64, cut: usize, seed: u64) -> Self {
+        let requester =
+            |_| Requester { view: GrantingView::default(), scheduler: SendScheduler::new(0) };
+        let names: Vec<String> = (0..count).map(|number| format!("edge-{number}")).collect();
+        let others = names[1..].iter().map(String::as_str);
+        let requested = Requested { worker: WORKER, own: &names[0], is_relayed: false };
+        let name = GrantingView::default().granting_instance(requested, others, 0);
+        let granting_at = names.iter().position(|one| one == name).expect("an instance");
+        assert!(granting_at >= cut);
+        Self {
+            names,
+            requesters: (0..count).map(requester).collect(),
+            loss,
+            cut,
+            granting_at,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    fn is_lost(&mut self, from: usize, to: usize) -> bool {
+        let is_cut = (from == self.granting_at && to < self.cut)
+            || (to == self.granting_at && from < self.cut);
+        is_cut || self.rng.random_bool(self.loss)
+    }
+
+    fn exchange_heartbeats(&mut self) {
+        for at in 0..self.names.len() {
+            for _ in 0..HEARTBEAT_MESSAGES {
+                let from = self.rng.random_range(0..self.names.len());
+                if !self.is_lost(from, at) {
+                    self.requesters[at].view.on_message(&self.names[from]);
+                }
+            }
+        }
+    }
+
+    /// Returns the index of the instance that grants a send requested at instance `at`.
+    fn granting(&self, at: usize, is_relayed: bool, now_ms: u64) -> usize {
+        let own = self.names[at].as_str();
+        let others = self.names.iter().map(String::as_str).filter(|name| *name != own);
+        let requested = Requested { worker: WORKER, own, is_relayed };
+        let name = self.requesters[at].view.granting_instance(requested, others, now_ms);
+        self.names.iter().position(|one| one == name).expect("an instance")
+    }
+
+    /// Requests a send at an instance; `is_relayed` tells whether it passes on another one's request.
+    fn request(&mut self, at: usize, is_relayed: bool, per_ks: u32, now_ms: u64) -> Option<Grant> {
+        for _ in 0..=UNANSWERED_MAX {
+            let to = self.granting(at, false, now_ms);
+            if to == at {
+                return Some(self.requesters[at].scheduler.grant(per_ks, 0, now_ms));
+            }
+            if let Some(grant) = self.ask(Path { from: at, to }, is_relayed, per_ks, now_ms) {
+                self.requesters[at].view.on_message(&self.names[to]);
+                return Some(grant);
+            }
+            self.requesters[at].view.on_unanswered(&self.names[to], now_ms);
+        }
+        None
+    }
+
+    fn ask(&mut self, path: Path, is_relayed: bool, per_ks: u32, now_ms: u64) -> Option<Grant> {
+        let Path { from, to } = path;
+        let mut answer = None;
+        for _ in 0..GRANT_SENDS {
+            if self.is_lost(from, to) {
+                continue;
+            }
+            // A repeated request gets the same answer.
+            if answer.is_none() {
+                answer = match self.granting(to, is_relayed, now_ms) == to {
+                    true => Some(self.requesters[to].scheduler.grant(per_ks, 0, now_ms)),
+                    false => self.request(to, true, per_ks, now_ms),
+                };
+            }
+            if answer.is_some() && !self.is_lost(to, from) {
+                return answer;
+            }
+        }
+        None
+    }
+}
+
+/// Guards against LIMIT where datagrams are lost, or links between some instances are cut: an instance
+/// that seems silent to some and grants the sends of others, beside the one that takes its place.
+#[test_case(0.03, 0; "three in a hundred are lost")]
+#[test_case(0.1, 0; "one in ten is lost")]
+#[test_case(0.25, 0; "one in four is lost")]
+#[test_case(0.0, 30; "a third of the instances do not reach the granting one")]
+#[test_case(0.1, 30; "both")]
+fn sends_stay_within_the_limit_when_datagrams_are_lost(loss: f64, cut: usize) {
+    for (seed, per_ks) in [(1, 2000), (2, 10_000), (3, 40_000)] {
+        let mut instances = LossyInstances::new(90, loss, cut, seed);
+        let mut sends_ms = Vec::new();
+        for now_ms in 0..30_000 {
+            if now_ms % HEARTBEAT_MS == 0 {
+                instances.exchange_heartbeats();
+            }
+            let at = instances.rng.random_range(0..90);
+            // Three times the limit.
+            if instances.rng.random_bool(f64::from(per_ks) * 3.0 / 1_000_000.0)
+                && let Some(Grant::After(wait_ms)) = instances.request(at, false, per_ks, now_ms)
+            {
+                sends_ms.push(now_ms + wait_ms);
+            }
+        }
+        let most = most_in_window(&sends_ms);
+        assert!(most <= allowed(per_ks), "{most} sends of {} at {per_ks}", allowed(per_ks));
+        assert!(sends_ms.len() as f64 > f64::from(per_ks) * 30.0 / 1000.0 * 0.6);
+    }
+}
