Grant waiting sends anew when a limit falls

Requests that were granted a send up to 2 s ahead kept it when the limit fell: 30 requests of 11 allowed. They ask again under a noticeably lower limit.

sends_that_wait_are_granted_anew_when_the_limit_falls: 30 of 11 before.

--- a/lovageridge/src/gateway/limits.rs
+++ b/lovageridge/src/gateway/limits.rs
@@ -81,7 +81,7 @@
 }
 
 /// Returns whether a limit has changed noticeably.
-fn is_news(before: u32, now: u32) -> bool {
+pub fn is_news(before: u32, now: u32) -> bool {
     u64::from(before.abs_diff(now)) * 100 > u64::from(before) * u64::from(NEWS_PCT)
 }
 
--- a/lovageridge/src/gateway/limits/driver.rs
+++ b/lovageridge/src/gateway/limits/driver.rs
@@ -20,6 +20,7 @@
 use crate::gateway::limits::granting::GrantingView;
 use crate::gateway::limits::granting::Requested;
 use crate::gateway::limits::granting::UNANSWERED_MAX;
+use crate::gateway::limits::is_news;
 use crate::gateway::limits::schedules::ScheduledSend;
 use crate::gateway::limits::schedules::Schedules;
 use crate::gateway::message_fields::StatedLimit;
@@ -105,15 +106,25 @@
     }
 }
 
+/// Returns whether a limit has fallen so far that sends granted before have to be granted anew.
+fn has_fallen(before: Option<u32>, now: Option<u32>) -> bool {
+    before.zip(now).is_some_and(|(before, now)| is_news(before, now) && now < before)
+}
+
+/// Returns the limit of a worker, in requests in 1000 s; `None` if it has none.
+fn known_limit(gateway: &Gateway, worker_id: &str) -> Option<u32> {
+    let now_ms = gateway.now_ms();
+    gateway.directory.borrow().get(worker_id).and_then(|worker| worker.limit.per_ks(now_ms))
+}
+
 /// Returns whether a worker limits its requests.
 pub fn is_limited(gateway: &Gateway, worker_id: &str) -> bool {
-    let now_ms = gateway.now_ms();
-    let directory = gateway.directory.borrow();
-    directory.get(worker_id).is_some_and(|worker| worker.limit.per_ks(now_ms).is_some())
+    known_limit(gateway, worker_id).is_some()
 }
 
 /// Obtains a send to a worker, waiting for up to `max_wait_ms`; returns whether the request may be sent
-/// now. If not, a worker has to be chosen again: this one is not chosen for some time.
+/// now. If not, a worker has to be chosen again: this one is not chosen for some time, unless its limit
+/// has changed.
 pub async fn acquire(gateway: &Rc<Gateway>, worker_id: &str, max_wait_ms: u64) -> bool {
     let now_ms = gateway.now_ms();
     let report = {
@@ -126,9 +137,14 @@
     let grant = request_grant(gateway, &request).await;
     let (result, until_ms) = match grant {
         Some(Grant::After(wait_ms)) => {
+            let granted = known_limit(gateway, worker_id);
             if wait_ms > 0 {
                 tokio::time::sleep(Duration::from_millis(wait_ms)).await;
             }
+            if has_fallen(granted, known_limit(gateway, worker_id)) {
+                count(gateway, "outdated");
+                return false;
+            }
             count(gateway, "granted");
             return true;
         }
--- a/lovageridge/tests/gateway/limits.rs
+++ b/lovageridge/tests/gateway/limits.rs
@@ -174,3 +174,20 @@
     assert!(sent >= 30, "{sent} of 40 requests sent after the limit has ended");
     deployment.close();
 }
+
+/// Guards against sends that were granted at the limit before it fell and are made after it has fallen.
+#[test]
+fn sends_that_wait_are_granted_anew_when_the_limit_falls() {
+    let deployment = deployment(vec![("p0", plain_worker(5))], 3);
+    let interval = Duration::from_millis(8);
+    deployment.worker("p0").set_limit(Some("40"));
+    let bound_from = thread::scope(|scope| {
+        scope.spawn(|| load(&deployment, &[0, 1, 2], look, interval, Duration::from_secs(9)));
+        thread::sleep(Duration::from_secs(4));
+        deployment.worker("p0").set_limit(Some("1"));
+        // Half a second after it has passed on the first response, an instance is bound by it.
+        Instant::now() + Duration::from_millis(500)
+    });
+    assert_few_requests(&deployment, "p0", 1.0, bound_from);
+    deployment.close();
+}
