Keep limits that nobody has stated for a while

A limit that was not stated for 30 s was forgotten by all instances at about the same time, and the idle worker got requests of all of them until one had its response. It now no longer counts against the choice of the worker, but holds for ten minutes.

--- a/lovageridge/src/gateway/directory/choose.rs
+++ b/lovageridge/src/gateway/directory/choose.rs
@@ -169,7 +169,7 @@
     };
     let failure_factor = 1.0 + FAILURE_WEIGHT * worker.health.failure_rate(now_ms);
     let avoided_factor = if worker.health.is_avoided(now_ms) { AVOIDED_FACTOR } else { 1.0 };
-    let is_limited = worker.limit.per_ks(now_ms).is_some();
+    let is_limited = worker.limit.recent_per_ks(now_ms).is_some();
     let limited_factor = if is_limited { LIMITED_FACTOR } else { 1.0 };
     (f64::from(worker.load_estimate(now_ms)) + BASE_REQUESTS + domain_requests)
         * latency_factor
--- a/lovageridge/src/gateway/fleet/driver.rs
+++ b/lovageridge/src/gateway/fleet/driver.rs
@@ -63,7 +63,7 @@
     let fleet = fleet.as_mut()?;
     for worker in gateway.directory.borrow().iter() {
         if let Some(state) = fleet.worker_mut(&worker.record.id) {
-            let per_ks = worker.limit.per_ks(now_ms);
+            let per_ks = worker.limit.recent_per_ks(now_ms);
             state.limit_per_s = per_ks.map(|per_ks| f64::from(per_ks) / 1000.0);
         }
     }
--- a/lovageridge/src/gateway/limits.rs
+++ b/lovageridge/src/gateway/limits.rs
@@ -16,7 +16,10 @@
 mod tests;
 
 /// Time without a response that states it after which a limit is forgotten, in ms.
-const LIMIT_TTL_MS: u64 = 30_000;
+const LIMIT_TTL_MS: u64 = 600_000;
+/// Time without such a response after which the worker is chosen as if it had no limit, in ms. Its limit
+/// still holds, so that not all instances send at once until one of them has a response.
+const RECENT_MS: u64 = 30_000;
 /// Smallest rate that is granted, in requests in 1000 s: a worker that takes none is still asked for
 /// its limit once in a while.
 const RATE_MIN_PER_KS: u32 = 200;
@@ -68,6 +71,12 @@
         per_ks.filter(|_| now_ms < at_ms + LIMIT_TTL_MS)
     }
 
+    /// Returns the limit if it was stated recently, in requests in 1000 s.
+    pub fn recent_per_ks(&self, now_ms: u64) -> Option<u32> {
+        let (_, at_ms) = self.stated?;
+        self.per_ks(now_ms).filter(|_| now_ms < at_ms + RECENT_MS)
+    }
+
     /// Returns the time of the statement, in ms; `None` if nothing was ever stated.
     pub fn stated_ms(&self) -> Option<u64> {
         self.stated.map(|(_, at_ms)| at_ms)
--- a/lovageridge/src/gateway/limits/tests.rs
+++ b/lovageridge/src/gateway/limits/tests.rs
@@ -119,6 +119,40 @@
     assert!(counts.iter().all(|count| *count < 30), "{counts:?}");
 }
 
+/// Guards against a limit that all instances forget at the same time, so that each of them sends at once.
+#[test]
+fn instances_do_not_all_send_at_once_when_a_limit_is_no_longer_stated() {
+    let mut limits = vec![KnownLimit::default(); 90];
+    for limit in &mut limits {
+        limit.on_stated(Some(1000), 1000);
+    }
+    let mut scheduler = SendScheduler::new(0);
+    let mut sends_ms = Vec::new();
+    // Responses to the first of these requests come after their end.
+    for now_ms in (1000..61_000).step_by(200) {
+        for limit in &limits {
+            let is_free = match limit.per_ks(now_ms) {
+                Some(per_ks) => matches!(scheduler.grant(per_ks, 0, now_ms), Grant::After(_)),
+                None => true,
+            };
+            if is_free && now_ms > 31_000 {
+                sends_ms.push(now_ms);
+            }
+        }
+    }
+    let most = most_in_window(&sends_ms);
+    assert!(most <= allowed(1000), "{most} sends, {} are allowed", allowed(1000));
+}
+
+#[test]
+fn a_limit_that_was_not_stated_recently_does_not_count_against_a_worker() {
+    let mut limit = KnownLimit::default();
+    limit.on_stated(Some(2000), 1000);
+    let later_ms = 1000 + RECENT_MS;
+    assert_eq!(limit.recent_per_ks(later_ms - 1), Some(2000));
+    assert_eq!(limit.recent_per_ks(later_ms), None);
+}
+
 /// Interval at which an instance hears from others, in ms.
 const HEARTBEAT_MS: u64 = 500;
 /// Number of messages that it gets in this time.
