Use a risen limit at once

What was granted takes less time at the higher rate now, and a rise ends the pause of the instances.

--- a/lovageridge/src/gateway/limits.rs
+++ b/lovageridge/src/gateway/limits.rs
@@ -109,6 +109,8 @@
 pub struct SendScheduler {
     // Time up to which the granted sends use up the rate, in ms.
     used_until_ms: f64,
+    // Rate of the last granted send, in requests in 1000 s.
+    per_ks: u32,
     last_used_ms: u64,
 }
 
@@ -116,7 +118,7 @@
     /// Returns a scheduler that has saved up nothing.
     pub fn new(now_ms: u64) -> Self {
         let used_until_ms = now_ms as f64 + BURST_MS;
-        Self { used_until_ms, last_used_ms: now_ms }
+        Self { used_until_ms, per_ks: RATE_MIN_PER_KS, last_used_ms: now_ms }
     }
 
     /// Grants a send at a rate of `per_ks` requests in 1000 s, if it is possible within `max_wait_ms`.
@@ -125,6 +127,13 @@
         let per_ks = per_ks.max(RATE_MIN_PER_KS);
         let interval_ms = 1_000_000.0 / f64::from(per_ks);
         let now = now_ms as f64;
+        if per_ks > self.per_ks {
+            // What was granted takes less time at the higher rate.
+            let owed_ms = (self.used_until_ms - BURST_MS - now).max(0.0);
+            let saved_ms = owed_ms * (1.0 - f64::from(self.per_ks) / f64::from(per_ks));
+            self.used_until_ms -= saved_ms;
+        }
+        self.per_ks = per_ks;
         let used_until_ms = self.used_until_ms.max(now);
         let wait_ms = (used_until_ms - BURST_MS - now).max(0.0).ceil() as u64;
         if wait_ms > max_wait_ms {
--- a/lovageridge/src/gateway/limits/driver.rs
+++ b/lovageridge/src/gateway/limits/driver.rs
@@ -76,10 +76,14 @@
             None => return,
         },
     };
+    let before = worker.limit.per_ks(now_ms);
     if !worker.limit.on_stated(per_ks, sent_ms) {
         return;
     }
     log_limit(gateway, &worker.record.id, per_ks);
+    if is_raised(before, per_ks) {
+        worker.limited_until_ms = 0;
+    }
     if now_ms >= worker.limit_told_ms + TELL_INTERVAL_MS {
         worker.limit_told_ms = now_ms;
         if let Some(report) = worker.limit.report(worker.key, now_ms) {
@@ -101,11 +105,21 @@
     let mut directory = gateway.directory.borrow_mut();
     let Some(worker) = directory.get_by_key_mut(report.worker) else { return };
     let at_ms = now_ms.saturating_sub(report.age_ms);
+    let before = worker.limit.per_ks(now_ms);
     if worker.limit.on_stated(report.per_ks, at_ms) {
         log_limit(gateway, &worker.record.id, report.per_ks);
+        if is_raised(before, report.per_ks) {
+            worker.limited_until_ms = 0;
+            gateway.state_changed.notify_waiters();
+        }
     }
 }
 
+/// Returns whether a limit has risen or ended.
+fn is_raised(before: Option<u32>, now: Option<u32>) -> bool {
+    before.is_some_and(|before| now.is_none_or(|now| now > before))
+}
+
 /// Returns whether a limit has fallen so far that sends granted before have to be granted anew.
 fn has_fallen(before: Option<u32>, now: Option<u32>) -> bool {
     before.zip(now).is_some_and(|(before, now)| is_news(before, now) && now < before)
--- a/lovageridge/src/gateway/limits/tests.rs
+++ b/lovageridge/src/gateway/limits/tests.rs
@@ -153,6 +153,20 @@
     assert_eq!(limit.recent_per_ks(later_ms), None);
 }
 
+/// Guards against a worker that gets no requests for seconds after its limit has risen.
+#[test_case(200, 1, 3000; "one in five seconds")]
+#[test_case(2000, 5, 1000; "two a second, granted ahead")]
+fn sends_do_not_wait_at_the_old_rate_after_a_rise(per_ks: u32, granted: usize, wait_min_ms: u64) {
+    let mut scheduler = SendScheduler::new(0);
+    for _ in 0..granted {
+        assert!(matches!(scheduler.grant(per_ks, WAIT_MAX_MS, 0), Grant::After(_)));
+    }
+    let denied = scheduler.grant(per_ks, 0, 1000);
+    assert!(matches!(denied, Grant::Denied(wait_ms) if wait_ms > wait_min_ms), "{denied:?}");
+    // The sends that were granted take 50 ms each at the new rate.
+    assert!(matches!(scheduler.grant(20_000, 150, 1100), Grant::After(_)));
+}
+
 /// Interval at which an instance hears from others, in ms.
 const HEARTBEAT_MS: u64 = 500;
 /// Number of messages that it gets in this time.
