--- a/lovageridge/tests/gateway/limits.rs
+++ b/lovageridge/tests/gateway/limits.rs
@@ -6,6 +6,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use lovageridge::gateway::limits::granting::GrantingView;
+use lovageridge::gateway::limits::granting::Requested;
+use lovageridge::hashing;
 use standins::platform::caller::CallerRequest;
 use standins::platform::deployment::Deployment;
 use standins::platform::deployment::engine_worker;
@@ -191,3 +194,50 @@
     assert_few_requests(&deployment, "p0", 1.0, bound_from);
     deployment.close();
 }
+
+/// Returns the key under which instances know a worker.
+fn worker_key(deployment: &Deployment, id: &str) -> u64 {
+    hashing::stable_hash(&[id, &deployment.worker(id).born_ms().to_string()])
+}
+
+/// Returns the index of the instance that grants the sends to a worker.
+fn granting_instance(deployment: &Deployment, id: &str) -> usize {
+    let names: Vec<String> =
+        (0..deployment.instances.len()).map(|at| format!("edge-{at}")).collect();
+    let worker = worker_key(deployment, id);
+    let requested = Requested { worker, own: &names[0], is_relayed: false };
+    let others = names[1..].iter().map(String::as_str);
+    let name = GrantingView::default().granting_instance(requested, others, 0);
+    names.iter().position(|one| one == name).expect("an instance")
+}
+
+/// Guards against sends that are used up by the repetitions of one request while the granting instance does
+/// not answer.
+#[test]
+fn a_repeated_request_for_a_send_uses_up_one_send() {
+    let deployment = deployment(vec![("p0", plain_worker(5))], 3);
+    // One request in 1667 ms.
+    deployment.worker("p0").set_limit(Some("0.6"));
+    let granting_at = granting_instance(&deployment, "p0");
+    let at = (granting_at + 1) % 3;
+    let send = |number| {
+        let started = Instant::now();
+        let reply = look(number).send(deployment.instances[at].callers_addr).expect("a response");
+        assert_eq!(reply.status_code, 200);
+        // With a second send used up, this request or the next one would wait for more than 1.5 s.
+        assert!(started.elapsed() < Duration::from_millis(700), "{:?}", started.elapsed());
+    };
+    // The response tells the limit.
+    send(1);
+    thread::sleep(Duration::from_millis(500));
+    let granting = &deployment.instances[granting_at].process;
+    thread::scope(|scope| {
+        granting.pause();
+        scope.spawn(|| send(2));
+        thread::sleep(Duration::from_millis(170));
+        granting.resume();
+    });
+    thread::sleep(Duration::from_millis(1700));
+    send(3);
+    deployment.close();
+}
