Bound the waits that messages about sends name

One forged message that named a wait of hours let the granting instance schedule sends for hours ahead, so that the worker got none; a forged answer held its request until the caller left. Sends are granted at most 2 s ahead, and an answer that the requester cannot have asked for is ignored.

--- a/lovageridge/src/gateway/limits.rs
+++ b/lovageridge/src/gateway/limits.rs
@@ -104,6 +104,16 @@
     Denied(u64),
 }
 
+impl Grant {
+    /// Returns whether this can be the answer to a requester that would wait for `max_wait_ms`.
+    pub fn is_possible(self, max_wait_ms: u64) -> bool {
+        match self {
+            Self::After(wait_ms) => wait_ms <= max_wait_ms,
+            Self::Denied(_) => true,
+        }
+    }
+}
+
 /// Grants sends to one worker at its limit.
 #[derive(Clone, Copy, Debug)]
 pub struct SendScheduler {
@@ -121,9 +131,11 @@
         Self { used_until_ms, per_ks: RATE_MIN_PER_KS, last_used_ms: now_ms }
     }
 
-    /// Grants a send at a rate of `per_ks` requests in 1000 s, if it is possible within `max_wait_ms`.
+    /// Grants a send at a rate of `per_ks` requests in 1000 s, if it is possible within `max_wait_ms` and
+    /// [`WAIT_MAX_MS`].
     pub fn grant(&mut self, per_ks: u32, max_wait_ms: u64, now_ms: u64) -> Grant {
         self.last_used_ms = now_ms;
+        let max_wait_ms = max_wait_ms.min(WAIT_MAX_MS);
         let per_ks = per_ks.max(RATE_MIN_PER_KS);
         let interval_ms = 1_000_000.0 / f64::from(per_ks);
         let now = now_ms as f64;
--- a/lovageridge/src/gateway/limits/driver.rs
+++ b/lovageridge/src/gateway/limits/driver.rs
@@ -14,6 +14,7 @@
 use crate::gateway::eventlog::Severity;
 use crate::gateway::limits::Grant;
 use crate::gateway::limits::LimitReport;
+use crate::gateway::limits::WAIT_MAX_MS;
 use crate::gateway::limits::exchange::Receipt;
 use crate::gateway::limits::exchange::ReceivedRequests;
 use crate::gateway::limits::exchange::Requester;
@@ -47,12 +48,18 @@
 pub struct LimitTracker {
     schedules: RefCell<Schedules>,
     // Requests for sends that wait for an answer, by number.
-    pending: RefCell<Table<u64, oneshot::Sender<Grant>>>,
+    pending: RefCell<Table<u64, Waiting>>,
     last_number: Cell<u64>,
     received: RefCell<ReceivedRequests>,
     view: RefCell<GrantingView>,
 }
 
+/// A request for a send that waits for its answer.
+struct Waiting {
+    max_wait_ms: u64,
+    sender: oneshot::Sender<Grant>,
+}
+
 /// A request for a send.
 #[derive(Clone, Copy, Debug)]
 pub struct SendRequest {
@@ -189,7 +196,7 @@
         // With the same number, a send that was granted but whose answer was lost is not counted twice.
         let mut asked = match pending.take() {
             Some(pending) if pending.addr == addr => pending,
-            _ => Pending::new(gateway, addr),
+            _ => Pending::new(gateway, addr, *max_wait_ms),
         };
         if let Some(grant) = ask(&mut asked, request).await {
             return Some(grant);
@@ -226,12 +233,12 @@
 }
 
 impl<'a> Pending<'a> {
-    fn new(gateway: &'a Gateway, addr: SocketAddr) -> Self {
+    fn new(gateway: &'a Gateway, addr: SocketAddr, max_wait_ms: u64) -> Self {
         let limits = &gateway.limits;
         let number = limits.last_number.get() + 1;
         limits.last_number.set(number);
         let (sender, answer) = oneshot::channel();
-        limits.pending.borrow_mut().insert(number, sender);
+        limits.pending.borrow_mut().insert(number, Waiting { max_wait_ms, sender });
         Self { gateway, addr, number, answer }
     }
 }
@@ -256,6 +263,8 @@
 
 /// Answers another instance's request for a send, or passes it on.
 pub fn on_grant_request(gateway: &Rc<Gateway>, from: Requester, request: SendRequest) {
+    let max_wait_ms = request.max_wait_ms.min(WAIT_MAX_MS);
+    let request = SendRequest { max_wait_ms, ..request };
     on_report(gateway, &request.report);
     let worker = request.report.worker;
     let receipt = gateway.limits.received.borrow_mut().on_request(from);
@@ -299,9 +308,11 @@
         on_report(gateway, report);
     }
     let mut pending = gateway.limits.pending.borrow_mut();
-    if let Some(sender) = pending.remove(&number) {
+    // An answer to another request, such as a forged one, leaves the request waiting.
+    let is_possible = pending.get(&number).is_some_and(|one| grant.is_possible(one.max_wait_ms));
+    if is_possible && let Some(waiting) = pending.remove(&number) {
         // The requester may have stopped waiting.
-        let _ = sender.send(grant);
+        let _ = waiting.sender.send(grant);
     }
 }
 
--- a/lovageridge/src/gateway/limits/tests.rs
+++ b/lovageridge/src/gateway/limits/tests.rs
@@ -69,6 +69,28 @@
     }
 }
 
+/// Guards against a worker that gets no requests for hours because forged requests have taken the sends.
+#[test_case(3_600_000; "an hour")]
+#[test_case(u64::MAX; "at the end of the range of times")]
+fn sends_are_granted_only_a_short_time_ahead(forged_wait_ms: u64) {
+    let mut scheduler = SendScheduler::new(0);
+    for _ in 0..1000 {
+        scheduler.grant(1000, forged_wait_ms, 0);
+    }
+    let later_ms = WAIT_MAX_MS + 1000;
+    assert_eq!(scheduler.grant(1000, 0, later_ms), Grant::After(0));
+}
+
+/// Guards against requests that are held for hours by a forged answer.
+#[test]
+fn an_answer_that_names_a_longer_wait_than_was_asked_for_is_impossible() {
+    assert!(Grant::After(150).is_possible(150));
+    assert!(Grant::Denied(9000).is_possible(150));
+    for wait_ms in [151, WAIT_MAX_MS, u64::MAX] {
+        assert!(!Grant::After(wait_ms).is_possible(150), "{wait_ms} ms");
+    }
+}
+
 #[test]
 fn a_denied_send_is_possible_after_the_time_that_was_told() {
     let mut scheduler = SendScheduler::new(0);
--- a/lovageridge/tests/gateway/limits.rs
+++ b/lovageridge/tests/gateway/limits.rs
@@ -1,13 +1,20 @@
 //! Tests of workers that limit the rate of their requests.
 
+use std::net::SocketAddr;
+use std::net::UdpSocket;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
+use lovageridge::gateway::limits::Grant;
+use lovageridge::gateway::limits::LimitReport;
 use lovageridge::gateway::limits::granting::GrantingView;
 use lovageridge::gateway::limits::granting::Requested;
+use lovageridge::gateway::peers::Message;
+use lovageridge::gateway::peers::Payload;
+use lovageridge::gateway::peers::Progress;
 use lovageridge::hashing;
 use standins::platform::caller::CallerRequest;
 use standins::platform::deployment::Deployment;
@@ -241,3 +248,60 @@
     send(3);
     deployment.close();
 }
+
+/// Sends a message with `payload` to all instances, in the name of an earlier process of one of them.
+fn send_forged(deployment: &Deployment, from: &UdpSocket, payload: Payload) {
+    let message = Message {
+        sender: "edge-1".to_owned(),
+        domain: "a".to_owned(),
+        incarnation: 0,
+        is_small: false,
+        progress: Progress::default(),
+        read_age_ms: None,
+        lead: None,
+        payload,
+    };
+    let bytes = postcard::to_stdvec(&message).expect("a message");
+    for instance in &deployment.instances {
+        let peers_port = instance.metrics_addr.port() - 1;
+        let to = SocketAddr::new(instance.metrics_addr.ip(), peers_port);
+        from.send_to(&bytes, to).expect("sent");
+    }
+}
+
+/// Guards against forged messages that name hours as the time until a send: the worker would get nothing
+/// in the meantime, or requests would wait until their callers leave.
+#[test]
+fn forged_messages_about_sends_do_not_hold_up_requests() {
+    let deployment = deployment(vec![("p0", plain_worker(5))], 3);
+    deployment.worker("p0").set_limit(Some("4"));
+    let interval = Duration::from_millis(50);
+    load(&deployment, &[0, 1, 2], look, interval, Duration::from_secs(1));
+    let worker = worker_key(&deployment, "p0");
+    let report = LimitReport { worker, per_ks: Some(4000), age_ms: 0 };
+    let from = UdpSocket::bind("127.0.0.1:0").expect("a socket");
+    for number in 0..200 {
+        let (max_wait_ms, is_relayed) = (u64::MAX, number % 2 == 0);
+        let payload = Payload::GrantRequest { number, report, max_wait_ms, is_relayed };
+        send_forged(&deployment, &from, payload);
+    }
+    let before = deployment.worker("p0").requests();
+    let served = thread::scope(|scope| {
+        scope.spawn(|| {
+            for round in 0..60 {
+                for number in 1..100 {
+                    let number = round * 2 + number;
+                    let grant = Grant::After(u64::MAX);
+                    send_forged(&deployment, &from, Payload::Grant { number, grant, report: None });
+                }
+                thread::sleep(Duration::from_millis(100));
+            }
+        });
+        load(&deployment, &[0, 1, 2], look, interval, Duration::from_secs(6))
+    });
+    let sent = deployment.worker("p0").requests() - before;
+    // The forged requests take the sends of two seconds.
+    assert!(sent >= 12, "{sent} of 24 that the limit allows");
+    assert_eq!(served.other.into_inner(), 0, "requests were held until their deadline");
+    deployment.close();
+}
