Hear an instance that starts again after its clock was set back

Such an instance was ignored by all others until its clock had caught up, so that after 30 s each side had its own granting instance, up to twice the limit of a worker.

--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -325,6 +325,13 @@
     pub last_read_ms: Option<u64>,
 }
 
+impl Peer {
+    /// Returns the time of its last message or announcement, in ms.
+    fn last_seen_ms(&self) -> u64 {
+        self.last_message_ms.unwrap_or(0).max(self.announced_ms)
+    }
+}
+
 /// Rank of an instance within its failure domain: large instances come first, then in order of name.
 #[derive(Clone, Copy, Debug)]
 pub struct Rank<'a> {
@@ -367,10 +374,16 @@
         }
     }
 
-    /// Updates the sender's entry from a message, unless a later process of that peer is known.
+    /// Updates the sender's entry from a message, unless it is a late one of a process that has ended: a
+    /// later process is known and not silent. An earlier start time alone does not show that, since the
+    /// clock may have been set back before the instance started again.
     pub fn on_message(&mut self, message: &Message, addr: SocketAddr, now_ms: u64) {
         let older = self.peers.get(message.sender.as_str());
-        if older.is_some_and(|peer| peer.incarnation > message.incarnation) {
+        let is_late = |peer: &Peer| {
+            peer.incarnation > message.incarnation
+                && now_ms <= peer.last_seen_ms() + PEER_TIMEOUT_MS
+        };
+        if older.is_some_and(is_late) {
             return;
         }
         let peer = Peer {
@@ -406,10 +419,7 @@
     /// Returns the number of instances that share a budget, including this one. Instances without
     /// recent messages count too: they may only be unreachable from here and still serve callers.
     pub fn budget_share_count(&self, now_ms: u64) -> u64 {
-        let counts = |peer: &&Peer| {
-            let last_seen_ms = peer.last_message_ms.unwrap_or(0).max(peer.announced_ms);
-            now_ms <= last_seen_ms + BUDGET_SHARE_EXPIRY_MS
-        };
+        let counts = |peer: &&Peer| now_ms <= peer.last_seen_ms() + BUDGET_SHARE_EXPIRY_MS;
         self.peers.values().filter(counts).count() as u64 + 1
     }
 
@@ -449,10 +459,7 @@
     /// Returns the peers that are still sent updates, even without recent messages from them: in a
     /// large deployment two given instances rarely exchange heartbeats.
     pub fn unexpired(&self, now_ms: u64) -> impl Iterator<Item = (&String, &Peer)> {
-        self.peers.iter().filter(move |(_, peer)| {
-            let last_seen_ms = peer.last_message_ms.unwrap_or(0).max(peer.announced_ms);
-            now_ms <= last_seen_ms + PEER_EXPIRY_MS
-        })
+        self.peers.iter().filter(move |(_, peer)| now_ms <= peer.last_seen_ms() + PEER_EXPIRY_MS)
     }
 
     /// Returns the live peer that is furthest ahead of `own` in reading the store; `None` if none is.
--- a/lovageridge/src/gateway/peers/tests.rs
+++ b/lovageridge/src/gateway/peers/tests.rs
@@ -55,6 +55,20 @@
     assert_eq!((peer.addr, peer.last_message_ms), (addr(4), None));
 }
 
+/// Guards against an instance that starts again after its clock was set back and is taken for dead by all
+/// others: each side would have its own granting instance for a limited worker (LIMIT).
+#[test]
+fn a_process_with_an_earlier_start_time_is_known_once_the_later_one_is_silent() {
+    let mut peers = Peers::default();
+    peers.on_message(&heartbeat("n1", "a", 9000, 1), addr(1), 100);
+    for now_ms in (1000..40_000).step_by(500) {
+        peers.on_message(&heartbeat("n1", "a", 7000, 1), addr(2), now_ms);
+    }
+    let live: Vec<SocketAddr> = peers.live(40_000).map(|(_, peer)| peer.addr).collect();
+    assert_eq!(live, [addr(2)]);
+    assert_eq!(peers.unexpired(40_000).count(), 1);
+}
+
 #[test]
 fn records_are_taken_from_a_live_peer_that_has_read_more() {
     let mut peers = Peers::default();
