Schedule sends to known workers whatever others are named

Requests that name workers which do not exist filled the schedules of granted sends, and workers that were not in them got no sends. The bound now holds for unknown workers only.

a_known_worker_is_scheduled_whatever_others_are_named: denied before.

--- a/lovageridge/src/gateway/limits/driver.rs
+++ b/lovageridge/src/gateway/limits/driver.rs
@@ -329,8 +329,9 @@
         let directory = gateway.directory.borrow();
         directory.get_by_key(report.worker).map(|worker| worker.limit.per_ks(now_ms))
     };
+    let is_known = known.is_some();
     // An instance that has not read the worker's record yet goes by the requester's statement.
     let Some(per_ks) = known.unwrap_or(report.per_ks) else { return Grant::After(0) };
-    let send = ScheduledSend { worker: report.worker, per_ks, max_wait_ms };
+    let send = ScheduledSend { worker: report.worker, is_known, per_ks, max_wait_ms };
     gateway.limits.schedules.borrow_mut().grant(send, now_ms)
 }
