Ignore limits in responses that belong to other requests

A late response from before the limit, taken for that of the present request, ended the limit or brought back an old one.

--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -313,7 +313,10 @@
         let label = [call.service.as_str()];
         gateway.metrics.limited_responses_total.with_label_values(&label).inc();
     }
-    limits::driver::on_response(gateway, worker, outcome.limit, now_ms - first_byte_ms);
+    // A response to another request tells what was true at the time of that one.
+    if outcome.id.as_deref() == call.fields.id.as_deref() {
+        limits::driver::on_response(gateway, worker, outcome.limit, now_ms - first_byte_ms);
+    }
     match (&call.target, status) {
         (Some(target), StatusCode::MISDIRECTED_REQUEST) => {
             worker.on_absent(&target.model, target.adapter.as_deref(), now_ms);
--- a/lovageridge/tests/gateway/limits.rs
+++ b/lovageridge/tests/gateway/limits.rs
@@ -20,6 +20,7 @@
 use standins::platform::deployment::Deployment;
 use standins::platform::deployment::engine_worker;
 use standins::platform::deployment::plain_worker;
+use standins::platform::worker::Behavior;
 
 use crate::deployment;
 
@@ -162,6 +163,21 @@
     deployment.close();
 }
 
+/// Guards against limits that end, or come back, with a response that belongs to another request.
+#[test]
+fn a_limit_holds_while_responses_belong_to_other_requests() {
+    let deployment = deployment(vec![("p0", plain_worker(5))], 3);
+    let (at, interval) = ([0, 1, 2], Duration::from_millis(50));
+    deployment.worker("p0").set_limit(Some("2"));
+    let named_at = Instant::now();
+    load(&deployment, &at, look, interval, Duration::from_secs(4));
+    deployment.worker("p0").set_behavior(Behavior::WrongId);
+    deployment.worker("p0").set_limit(None);
+    load(&deployment, &at, look, interval, Duration::from_secs(5));
+    assert_within_limit(&deployment, "p0", 2.0, named_at);
+    deployment.close();
+}
+
 /// Guards against limits that are kept after they have ended, or dropped when they are no numbers.
 #[test]
 fn a_limit_falls_is_no_number_and_ends() {
