Tell starting instances the limits that workers have stated

An instance that started knew no limit until its first response of each worker, and sent without a grant until then.

--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -7,6 +7,8 @@
 
 use crate::gateway::catalog::Catalog;
 use crate::gateway::limits::KnownLimit;
+use crate::gateway::limits::LimitReport;
+use crate::gateway::limits::detached::DetachedLimits;
 use crate::gateway::message_fields::ReportedLoad;
 use crate::gateway::peers::FleetStatus;
 use crate::gateway::peers::Tag;
@@ -154,6 +156,7 @@
     // Models reported by the lead as not usable before a time, in ms; sorted by tag.
     delayed_models: Vec<(Tag, u64)>,
     status_received_ms: u64,
+    detached_limits: DetachedLimits,
 }
 
 impl Directory {
@@ -161,7 +164,9 @@
     pub fn on_record(&mut self, record: WorkerRecord, now_ms: u64) -> Change {
         let Some(worker) = self.workers.get_mut(record.id.as_str()) else {
             let id = record.id.clone();
-            self.workers.insert(id, Worker::new(record, now_ms));
+            let mut worker = Worker::new(record, now_ms);
+            worker.limit = self.detached_limits.take(worker.key);
+            self.workers.insert(id, worker);
             return Change::Joined;
         };
         if record.start_unix_ms < worker.record.start_unix_ms {
@@ -172,6 +177,7 @@
             let in_flight = worker.in_flight;
             let by_model = worker.in_flight_by_model.clone();
             *worker = Worker::new(record, now_ms);
+            worker.limit = self.detached_limits.take(worker.key);
             worker.in_flight = in_flight;
             worker.in_flight_by_model = by_model;
             return Change::Joined;
@@ -207,6 +213,11 @@
         }
     }
 
+    /// Applies a statement about the limit of a worker that has no record.
+    pub fn on_detached_limit(&mut self, report: &LimitReport, now_ms: u64) {
+        self.detached_limits.on_report(report, now_ms);
+    }
+
     /// Removes the workers whose records were not published again in time; returns their ids.
     pub fn remove_expired(&mut self, now_ms: u64) -> Vec<String> {
         let mut removed = Vec::new();
--- a/lovageridge/src/gateway/limits.rs
+++ b/lovageridge/src/gateway/limits.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub mod detached;
 pub mod driver;
 pub mod exchange;
 pub mod granting;
@@ -49,6 +50,13 @@
     pub age_ms: u64,
 }
 
+impl LimitReport {
+    /// Returns whether the statement still counts in the choice of a worker.
+    pub fn is_recent(&self) -> bool {
+        self.age_ms < RECENT_MS
+    }
+}
+
 impl KnownLimit {
     /// Applies a statement made at `at_ms`; an older one than the known one is ignored. Returns whether
     /// it is worth telling others.
--- a/lovageridge/src/gateway/limits/driver.rs
+++ b/lovageridge/src/gateway/limits/driver.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use rand::seq::IteratorRandom;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -40,6 +41,8 @@
 const UNGRANTED_MS: u64 = 300;
 /// Longest time for which a worker is not used after a send was denied, in ms.
 const DENIED_MAX_MS: u64 = 5000;
+/// Largest number of limits in a message.
+const REPORTS_MAX: usize = 64;
 /// Shortest time between two messages about the limit of the same worker, in ms.
 const TELL_INTERVAL_MS: u64 = 250;
 
@@ -110,7 +113,9 @@
 pub fn on_report(gateway: &Gateway, report: &LimitReport) {
     let now_ms = gateway.now_ms();
     let mut directory = gateway.directory.borrow_mut();
-    let Some(worker) = directory.get_by_key_mut(report.worker) else { return };
+    let Some(worker) = directory.get_by_key_mut(report.worker) else {
+        return directory.on_detached_limit(report, now_ms);
+    };
     let at_ms = now_ms.saturating_sub(report.age_ms);
     let before = worker.limit.per_ks(now_ms);
     if worker.limit.on_stated(report.per_ks, at_ms) {
@@ -122,6 +127,19 @@
     }
 }
 
+/// Sends the limits that were stated recently to an instance that has sent a heartbeat: it may have started
+/// since, or have missed them.
+pub fn send_recent(gateway: &Gateway, to: SocketAddr) {
+    let now_ms = gateway.now_ms();
+    let directory = gateway.directory.borrow();
+    let recent = directory.iter().filter_map(|worker| worker.limit.report(worker.key, now_ms));
+    let recent = recent.filter(LimitReport::is_recent);
+    let reports = recent.choose_multiple(&mut rand::rng(), REPORTS_MAX);
+    if !reports.is_empty() {
+        send(gateway, to, Payload::Limits(reports));
+    }
+}
+
 /// Returns whether a limit has risen or ended.
 fn is_raised(before: Option<u32>, now: Option<u32>) -> bool {
     before.is_some_and(|before| now.is_none_or(|now| now > before))
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -269,6 +269,8 @@
         /// Limit as the sender knows it; `None` if it knows of none.
         report: Option<LimitReport>,
     },
+    /// Limits that workers have stated recently.
+    Limits(Vec<LimitReport>),
 }
 
 /// Content of a datagram.
--- a/lovageridge/src/gateway/peers/driver.rs
+++ b/lovageridge/src/gateway/peers/driver.rs
@@ -152,6 +152,7 @@
             if reply_requested {
                 send(gateway, from, Payload::Heartbeat { reply_requested: false });
                 crashes::driver::send_digest(gateway, from);
+                limits::driver::send_recent(gateway, from);
             }
         }
         Payload::Demand(demand) => {
@@ -165,6 +166,9 @@
         }
         Payload::Batch(batch) => sync::apply_batch(gateway, &batch),
         Payload::Limit(report) => limits::driver::on_report(gateway, &report),
+        Payload::Limits(reports) => {
+            reports.iter().for_each(|report| limits::driver::on_report(gateway, report));
+        }
         Payload::GrantRequest { number, report, max_wait_ms, is_relayed } => {
             let requester = Requester { addr: from, incarnation: message.incarnation, number };
             let request = SendRequest { report, max_wait_ms, is_relayed };
--- a/lovageridge/tests/gateway/limits.rs
+++ b/lovageridge/tests/gateway/limits.rs
@@ -20,6 +20,7 @@
 use standins::platform::deployment::Deployment;
 use standins::platform::deployment::engine_worker;
 use standins::platform::deployment::plain_worker;
+use standins::platform::deployment::wait_for;
 use standins::platform::worker::Behavior;
 
 use crate::deployment;
@@ -163,6 +164,25 @@
     deployment.close();
 }
 
+/// Guards against LIMIT at a slow worker while instances start again one after the other: each of them would
+/// send without a grant until it has a response.
+#[test]
+fn a_limit_holds_while_instances_start_again() {
+    let mut deployment = deployment(vec![("p0", plain_worker(700))], 4);
+    deployment.worker("p0").set_limit(Some("2"));
+    let named_at = Instant::now();
+    let interval = Duration::from_millis(50);
+    load(&deployment, &[0, 1, 2, 3], look, interval, Duration::from_secs(4));
+    for at in 1..4 {
+        deployment.instances[at].process.kill();
+        deployment.restart(at).expect("an instance");
+        assert!(wait_for(|| deployment.instances[at].is_ready()));
+        load(&deployment, &[at], look, interval, Duration::from_millis(1200));
+    }
+    assert_within_limit(&deployment, "p0", 2.0, named_at);
+    deployment.close();
+}
+
 /// Guards against limits that end, or come back, with a response that belongs to another request.
 #[test]
 fn a_limit_holds_while_responses_belong_to_other_requests() {
