Keep the limit of a worker whose record is removed

A worker whose record was removed and written again while it ran was new to all instances at once, and each sent without a grant until its first response.

--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -199,18 +199,15 @@
     ///
     /// `expires_ms` is set if the record may have expired only because the store was unavailable.
     /// The worker then stays in use until that time, in case its record is published again.
-    pub fn on_removed(&mut self, id: &str, expires_ms: Option<u64>) -> Change {
-        match (expires_ms, self.workers.get_mut(id)) {
-            (Some(expires_ms), Some(worker)) => {
-                worker.expires_ms.get_or_insert(expires_ms);
-                Change::None
-            }
-            (None, Some(_)) => {
-                self.workers.remove(id);
-                Change::Removed
-            }
-            (_, None) => Change::None,
+    pub fn on_removed(&mut self, id: &str, expires_ms: Option<u64>, now_ms: u64) -> Change {
+        let Some(worker) = self.workers.get_mut(id) else { return Change::None };
+        if let Some(expires_ms) = expires_ms {
+            worker.expires_ms.get_or_insert(expires_ms);
+            return Change::None;
         }
+        self.detached_limits.keep(worker.key, worker.limit, now_ms);
+        self.workers.remove(id);
+        Change::Removed
     }
 
     /// Applies a statement about the limit of a worker that has no record.
@@ -224,6 +221,7 @@
         self.workers.retain(|id, worker| {
             let stays = !worker.has_expired(now_ms);
             if !stays {
+                self.detached_limits.keep(worker.key, worker.limit, now_ms);
                 removed.push(id.clone());
             }
             stays
--- a/lovageridge/src/gateway/directory/tests.rs
+++ b/lovageridge/src/gateway/directory/tests.rs
@@ -79,14 +79,14 @@
     let mut directory = Directory::default();
     directory.on_record(record("back", "a", &["m"]), 0);
     directory.on_record(record("lost", "a", &["m"]), 0);
-    assert_eq!(directory.on_removed("back", Some(3300)), Change::None);
-    assert_eq!(directory.on_removed("lost", Some(3300)), Change::None);
+    assert_eq!(directory.on_removed("back", Some(3300), 0), Change::None);
+    assert_eq!(directory.on_removed("lost", Some(3300), 0), Change::None);
     assert!(directory.remove_expired(3200).is_empty());
     directory.on_record(record("back", "a", &["m"]), 2500);
     // An expired worker gets no requests, even before it is removed.
     assert_eq!(choose_id(&directory, Some("m"), 3300), Ok("back".to_owned()));
     assert_eq!(directory.remove_expired(3300), vec!["lost".to_owned()]);
-    assert_eq!(directory.on_removed("back", None), Change::Removed);
+    assert_eq!(directory.on_removed("back", None, 0), Change::Removed);
     assert_eq!(directory.len(), 0);
 }
 
--- a/lovageridge/src/gateway/limits/detached.rs
+++ b/lovageridge/src/gateway/limits/detached.rs
@@ -1,6 +1,7 @@
 //! Limits of workers that have no record.
 //!
-//! An instance that starts may hear of a limit before it has read the worker's record.
+//! An instance that starts may hear of a limit before it has read the worker's record, and the record of a
+//! worker may be removed and written again.
 
 use crate::gateway::limits::KnownLimit;
 use crate::gateway::limits::LimitReport;
@@ -26,7 +27,8 @@
         self.keep(report.worker, limit, now_ms);
     }
 
-    fn keep(&mut self, worker: u64, limit: KnownLimit, now_ms: u64) {
+    /// Keeps the limit of a worker whose record is removed, unless there is none.
+    pub fn keep(&mut self, worker: u64, limit: KnownLimit, now_ms: u64) {
         if limit.per_ks(now_ms).is_none() {
             self.limits.remove(&worker);
             return;
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -338,8 +338,10 @@
 }
 
 fn remove_worker(gateway: &Gateway, id: &str) {
-    let keep_until_ms = gateway.store.borrow().keep_removed_until_ms(gateway.now_ms());
-    if gateway.directory.borrow_mut().on_removed(id, keep_until_ms) == Change::Removed {
+    let now_ms = gateway.now_ms();
+    let keep_until_ms = gateway.store.borrow().keep_removed_until_ms(now_ms);
+    let change = gateway.directory.borrow_mut().on_removed(id, keep_until_ms, now_ms);
+    if change == Change::Removed {
         drop_worker(gateway, id);
     }
 }
--- a/lovageridge/tests/gateway/limits.rs
+++ b/lovageridge/tests/gateway/limits.rs
@@ -183,6 +183,27 @@
     deployment.close();
 }
 
+/// Guards against LIMIT at a slow worker whose record is removed and written again: all instances would send
+/// without a grant until they have a response.
+#[test]
+fn a_limit_holds_while_the_record_of_the_worker_is_removed() {
+    let deployment = deployment(vec![("p0", plain_worker(700))], 3);
+    let (at, interval) = ([0, 1, 2], Duration::from_millis(50));
+    deployment.worker("p0").set_limit(Some("2"));
+    let named_at = Instant::now();
+    load(&deployment, &at, look, interval, Duration::from_secs(4));
+    for _ in 0..2 {
+        deployment.store.put("keyed.servers", "p0", b"");
+        let unready = || deployment.instances.iter().all(|one| !one.is_ready());
+        assert!(wait_for(unready), "the worker is still used");
+        deployment.announce(deployment.worker("p0"), "ready");
+        assert!(wait_for(|| deployment.instances.iter().all(|one| one.is_ready())));
+        load(&deployment, &at, look, interval, Duration::from_secs(2));
+    }
+    assert_within_limit(&deployment, "p0", 2.0, named_at);
+    deployment.close();
+}
+
 /// Guards against limits that end, or come back, with a response that belongs to another request.
 #[test]
 fn a_limit_holds_while_responses_belong_to_other_requests() {
