Wait for the check of a crashed worker before a request is sent on

On routes whose streams are resumed, the request whose crash blocked its part crashed one more worker, with all sound streams on it: it was sent on in the same ms in which its part was blocked ([2, 2, 2] runs of three requests). The same held for calls that are repeated.

Cause: whether a worker has crashed was found out beside the request, not before its next send. A request that was sent before now waits for the first attempt to connect to its last worker, a round trip and at most 100 ms, and is then admitted again.

--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -29,6 +29,7 @@
 use crate::gateway::crashes;
 use crate::gateway::crashes::driver::Admission;
 use crate::gateway::crashes::driver::admit;
+use crate::gateway::crashes::driver::wait_for_checks;
 use crate::gateway::directory::choose::ChooseError;
 use crate::gateway::directory::choose::Requirements;
 use crate::gateway::directory::choose::choose;
@@ -489,6 +490,7 @@
     wait_until_ms: u64,
 ) -> Result<ChosenWorker, Refusal> {
     let mut model_wait: Option<ModelWait<'_>> = None;
+    wait_for_checks(gateway, tried).await;
     loop {
         let changed = gateway.state_changed.notified();
         let choice = find_worker(gateway, call, tried, true);
--- a/lovageridge/src/gateway/crashes/driver.rs
+++ b/lovageridge/src/gateway/crashes/driver.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use crate::gateway::Gateway;
 use crate::gateway::attempt::Call;
@@ -39,6 +40,17 @@
 /// Shortest Retry-After for a blocked part, in ms.
 const RETRY_AFTER_MIN_MS: u64 = 1000;
 
+/// Longest time for which a further send of a request waits for the check of its last worker; a connection is
+/// refused within a round trip.
+const CHECK_WAIT_MAX: Duration = Duration::from_millis(100);
+
+/// A check whether a worker has crashed, while it goes on.
+struct Check {
+    requests: Vec<BeginningRequest>,
+    // Whether the first attempt to connect has ended: a crash is mostly known by then.
+    is_attempted: bool,
+}
+
 /// A request whose response had just begun, or had not yet, when its connection broke.
 struct BeginningRequest {
     id: String,
@@ -52,8 +64,9 @@
 pub struct CrashTracker {
     /// Observations and blocked parts.
     pub ledger: RefCell<CrashLedger>,
-    // Requests by worker for which it is being checked whether the worker has crashed.
-    checks: RefCell<Table<String, Vec<BeginningRequest>>>,
+    // By worker.
+    checks: RefCell<Table<String, Check>>,
+    check_attempted: Notify,
     // Digest of the blocked parts that the store is known to hold.
     pub(super) stored_digest: Cell<u64>,
     // All crashes that the store is known to hold.
@@ -92,10 +105,10 @@
     };
     let request = BeginningRequest { id: call.id().to_owned(), parts: parts.clone(), process };
     let mut checks = gateway.crashes.checks.borrow_mut();
-    if let Some(requests) = checks.get_mut(worker_id) {
-        return requests.push(request);
+    if let Some(check) = checks.get_mut(worker_id) {
+        return check.requests.push(request);
     }
-    checks.insert(worker_id.to_owned(), vec![request]);
+    checks.insert(worker_id.to_owned(), Check { requests: vec![request], is_attempted: false });
     let (gateway, worker_id) = (Rc::clone(gateway), worker_id.to_owned());
     tokio::task::spawn_local(async move { check_worker(&gateway, &worker_id, addr).await });
 }
@@ -109,13 +122,14 @@
         worker.map(|worker| worker.record.addr)
     };
     match addr {
-        Some(addr) => refuses_connections(addr, RESPONSE_CHECK_PAUSE).await,
+        Some(addr) => refuses_connections(addr, RESPONSE_CHECK_PAUSE, || ()).await,
         None => false,
     }
 }
 
 /// Returns whether no process listens on `addr`, after [`CHECKS`] attempts to connect with pauses between them.
-async fn refuses_connections(addr: SocketAddr, pause: Duration) -> bool {
+/// `on_accepted` is called after each attempt that did not show it.
+async fn refuses_connections(addr: SocketAddr, pause: Duration, on_accepted: impl Fn()) -> bool {
     for attempt in 0..CHECKS {
         if attempt > 0 {
             tokio::time::sleep(pause).await;
@@ -123,14 +137,45 @@
         if connection::is_refused(addr, CHECK_TIMEOUT).await {
             return true;
         }
+        on_accepted();
     }
     false
 }
 
+/// Waits until it is known whether those of `worker_ids` whose connections broke have crashed, so that a request
+/// is not sent on after the crash that blocks a part of its prompt.
+pub async fn wait_for_checks(gateway: &Gateway, worker_ids: &[String]) {
+    let tracker = &gateway.crashes;
+    let is_unknown = || {
+        let checks = tracker.checks.borrow();
+        worker_ids.iter().any(|id| checks.get(id).is_some_and(|check| !check.is_attempted))
+    };
+    let waiting = async {
+        loop {
+            let attempted = tracker.check_attempted.notified();
+            if !is_unknown() {
+                return;
+            }
+            attempted.await;
+        }
+    };
+    // After that time, the request goes on without the result.
+    let _ = timeout(CHECK_WAIT_MAX, waiting).await;
+}
+
 /// Checks whether a worker has crashed; if so, records it for the requests that were beginning.
 async fn check_worker(gateway: &Gateway, worker_id: &str, addr: SocketAddr) {
-    let has_crashed = refuses_connections(addr, CHECK_PAUSE).await;
-    let requests = gateway.crashes.checks.borrow_mut().remove(worker_id).unwrap_or_default();
+    let tracker = &gateway.crashes;
+    let on_accepted = || {
+        if let Some(check) = tracker.checks.borrow_mut().get_mut(worker_id) {
+            check.is_attempted = true;
+        }
+        tracker.check_attempted.notify_waiters();
+    };
+    let has_crashed = refuses_connections(addr, CHECK_PAUSE, on_accepted).await;
+    let check = tracker.checks.borrow_mut().remove(worker_id);
+    let requests = check.map(|check| check.requests).unwrap_or_default();
+    tracker.check_attempted.notify_waiters();
     let line = gateway.log.line(events::WORKER_CRASH_CHECKED, Severity::Notable);
     line.text("worker", worker_id)
         .text("crashed", has_crashed)
--- a/lovageridge/tests/gateway/crashes.rs
+++ b/lovageridge/tests/gateway/crashes.rs
@@ -391,3 +391,24 @@
     assert!(!incident.bad_runs().is_empty());
     incident.deployment.close();
 }
+
+/// Guards against a request that is sent to a further worker after the crash that blocks its part.
+#[test]
+fn a_stream_is_not_resumed_after_the_crash_that_blocks_its_part() {
+    for _ in 0..3 {
+        let mut incident = Incident::new(3);
+        let mut runs = Vec::new();
+        while runs.len() < 6 && !incident.blocks(0) {
+            let before = incident.bad_runs().len();
+            incident.send_bad(0, "/stream/again/1");
+            runs.push(incident.bad_runs().len() - before);
+            thread::sleep(ROUND);
+        }
+        assert_eq!(
+            runs.last(),
+            Some(&1),
+            "{runs:?} runs of the requests before the part was blocked"
+        );
+        incident.deployment.close();
+    }
+}
