Keep the limit of a worker that starts again

A slow worker in need that started again and still named its limit got 21 requests in 4 s where 17 are allowed, with three instances; the excess grows with their number.

Cause: a limit belonged to the start of the worker, like a crash. All instances took the new process for one without a limit until their first response of it, and an idle worker is the cheapest. Limits belong to the id of the worker now: they hold over a restart until a response states another one, or none. The same goes for a record that is removed and written with a new start.

a_limit_holds_while_the_worker_starts_again, both cases: 21 of 17 before, within the bound after. a_limit_ends_with_the_first_response_after_a_restart, green before and after, shows that a sound worker is not held up by it.

--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -58,7 +58,7 @@
     fn new(gateway: &Rc<Gateway>, worker_id: &str, model: Option<&str>) -> Self {
         let recorded = gateway.directory.borrow_mut().get_mut(worker_id).map(|worker| {
             worker.on_sent(model);
-            worker.key
+            worker.process
         });
         let ledger = gateway.crashes.ledger.borrow();
         Self {
--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -115,8 +115,10 @@
     pub in_flight_by_model: Table<String, u32>,
     /// Health as observed from its responses.
     pub health: Health,
-    /// Hash of its id and start time.
+    /// Hash of its id, which stays the same over a restart.
     pub key: u64,
+    /// Hash of its id and start time.
+    pub process: u64,
     /// Limit that it states on the rate of its requests.
     pub limit: KnownLimit,
     /// Time until which it gets no requests because of its limit, in ms.
@@ -176,8 +178,10 @@
         if record.start_unix_ms > worker.record.start_unix_ms {
             let in_flight = worker.in_flight;
             let by_model = worker.in_flight_by_model.clone();
+            let limit = worker.limit;
             *worker = Worker::new(record, now_ms);
-            worker.limit = self.detached_limits.take(worker.key);
+            // It holds until a response of the new process states another one, or none.
+            worker.limit = limit;
             worker.in_flight = in_flight;
             worker.in_flight_by_model = by_model;
             return Change::Joined;
@@ -295,12 +299,12 @@
         self.workers.get_mut(id)
     }
 
-    /// Returns the worker with this hash of its id and start time, if it is known.
+    /// Returns the worker with this hash of its id, if it is known.
     pub fn get_by_key(&self, key: u64) -> Option<&Worker> {
         self.iter().find(|worker| worker.key == key)
     }
 
-    /// Returns the worker with this hash of its id and start time for changes, if it is known.
+    /// Returns the worker with this hash of its id for changes, if it is known.
     pub fn get_by_key_mut(&mut self, key: u64) -> Option<&mut Worker> {
         self.workers.iter_mut().map(|(_, worker)| worker).find(|worker| worker.key == key)
     }
@@ -351,7 +355,8 @@
             in_flight: 0,
             in_flight_by_model: Table::new(),
             health: Health::default(),
-            key: hashing::stable_hash(&[&record.id, &record.start_unix_ms.to_string()]),
+            key: hashing::stable_hash(&[&record.id]),
+            process: hashing::stable_hash(&[&record.id, &record.start_unix_ms.to_string()]),
             limit: KnownLimit::default(),
             limited_until_ms: 0,
             limit_told_ms: 0,
--- a/lovageridge/src/gateway/limits.rs
+++ b/lovageridge/src/gateway/limits.rs
@@ -42,7 +42,7 @@
 /// A statement of a worker's limit, for other instances.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LimitReport {
-    /// Hash of the worker's id and start time.
+    /// Hash of the worker's id.
     pub worker: u64,
     /// Requests in 1000 s; `None` if the worker states no limit any longer.
     pub per_ks: Option<u32>,
--- a/lovageridge/tests/gateway/limits.rs
+++ b/lovageridge/tests/gateway/limits.rs
@@ -22,6 +22,7 @@
 use standins::platform::deployment::plain_worker;
 use standins::platform::deployment::wait_for;
 use standins::platform::worker::Behavior;
+use test_case::test_case;
 
 use crate::deployment;
 
@@ -31,6 +32,8 @@
 const SHARE_MAX: f64 = 1.5;
 /// Number of requests that may arrive beyond that.
 const SLACK: f64 = 5.0;
+/// Time for which a worker that starts again is down.
+const DOWN: Duration = Duration::from_millis(200);
 /// Time from the first response with a limit from which on it holds.
 const CONTACT: Duration = Duration::from_secs(3);
 
@@ -204,6 +207,52 @@
     deployment.close();
 }
 
+/// Guards against LIMIT at a slow worker that starts again and still states its limit: all instances would send
+/// without a grant until they have a response of the new process.
+#[test_case(false; "its record is replaced")]
+#[test_case(true; "its record is removed in between")]
+fn a_limit_holds_while_the_worker_starts_again(is_removed: bool) {
+    let deployment = deployment(vec![("p0", plain_worker(700))], 3);
+    let (at, interval) = ([0, 1, 2], Duration::from_millis(50));
+    let worker = deployment.worker("p0");
+    worker.set_limit(Some("2"));
+    let named_at = Instant::now();
+    load(&deployment, &at, look, interval, Duration::from_secs(4));
+    for _ in 0..2 {
+        worker.restart(DOWN);
+        if is_removed {
+            deployment.store.put("keyed.servers", "p0", b"");
+            let unready = || deployment.instances.iter().all(|one| !one.is_ready());
+            assert!(wait_for(unready), "the worker is still used");
+        }
+        thread::sleep(DOWN);
+        deployment.announce(worker, "ready");
+        assert!(wait_for(|| deployment.instances.iter().all(|one| one.is_ready())));
+        load(&deployment, &at, look, interval, Duration::from_secs(3));
+    }
+    assert_within_limit(&deployment, "p0", 2.0, named_at);
+    deployment.close();
+}
+
+/// Guards against the limit of a former process that holds up requests to a worker that states none any longer.
+#[test]
+fn a_limit_ends_with_the_first_response_after_a_restart() {
+    let deployment = deployment(vec![("p0", plain_worker(5))], 3);
+    let (at, interval) = ([0, 1, 2], Duration::from_millis(50));
+    let worker = deployment.worker("p0");
+    worker.set_limit(Some("0.5"));
+    load(&deployment, &at, look, interval, Duration::from_secs(3));
+    worker.set_limit(None);
+    worker.restart(DOWN);
+    thread::sleep(DOWN);
+    deployment.announce(worker, "ready");
+    // A limit of 0.5 allows the next request after 2 s at most.
+    load(&deployment, &at, look, interval, Duration::from_millis(2500));
+    let served = load(&deployment, &at, look, interval, Duration::from_secs(1));
+    assert_eq!((served.refused.into_inner(), served.other.into_inner()), (0, 0));
+    deployment.close();
+}
+
 /// Guards against limits that end, or come back, with a response that belongs to another request.
 #[test]
 fn a_limit_holds_while_responses_belong_to_other_requests() {
@@ -259,16 +308,11 @@
     deployment.close();
 }
 
-/// Returns the key under which instances know a worker.
-fn worker_key(deployment: &Deployment, id: &str) -> u64 {
-    hashing::stable_hash(&[id, &deployment.worker(id).born_ms().to_string()])
-}
-
 /// Returns the index of the instance that grants the sends to a worker.
 fn granting_instance(deployment: &Deployment, id: &str) -> usize {
     let names: Vec<String> =
         (0..deployment.instances.len()).map(|at| format!("edge-{at}")).collect();
-    let worker = worker_key(deployment, id);
+    let worker = hashing::stable_hash(&[id]);
     let requested = Requested { worker, own: &names[0], is_relayed: false };
     let others = names[1..].iter().map(String::as_str);
     let name = GrantingView::default().granting_instance(requested, others, 0);
@@ -334,7 +378,7 @@
     deployment.worker("p0").set_limit(Some("4"));
     let interval = Duration::from_millis(50);
     load(&deployment, &[0, 1, 2], look, interval, Duration::from_secs(1));
-    let worker = worker_key(&deployment, "p0");
+    let worker = hashing::stable_hash(&["p0"]);
     let report = LimitReport { worker, per_ks: Some(4000), age_ms: 0 };
     let from = UdpSocket::bind("127.0.0.1:0").expect("a socket");
     for number in 0..200 {
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -212,6 +212,11 @@
         self.shared.lock().crash = Some(crash);
     }
 
+    /// Restarts the worker: it is back after `down`, with a new start time.
+    pub fn restart(&self, down: Duration) {
+        self.shared.restart(down);
+    }
+
     /// Names a limit on the requests a second in all responses from now on, or none.
     pub fn set_limit(&self, limit: Option<&str>) {
         self.shared.lock().limit = limit.map(str::to_owned);
@@ -399,7 +404,7 @@
             // Errors mean that the caller has left.
             let _ = stream.write_all(format!("{start}\r\n{sent}").as_bytes());
             if let Some(crash) = crash {
-                self.crash(&crash);
+                self.restart(crash.down);
             }
             return Some(false);
         }
@@ -434,7 +439,7 @@
         for id in after + 1..=self.spec.events {
             thread::sleep(Duration::from_millis(self.spec.event_interval_ms));
             if let Some(crash) = crash.as_ref().filter(|crash| crash.after_events < id) {
-                self.crash(crash);
+                self.restart(crash.down);
                 return Some(false);
             }
             if is_disconnected(stream) {
@@ -496,9 +501,9 @@
         has_part.then_some(crash)
     }
 
-    fn crash(&self, crash: &Crash) {
+    fn restart(&self, down: Duration) {
         self.lock().born_ms = lovageridge::clock::unix_ms();
-        self.port.suspend(crash.down);
+        self.port.suspend(down);
     }
 
     fn respond_refused(&self, stream: &mut TcpStream, request: &Request, status: &str) -> bool {
