Soak: requests that crash workers, beside all other faults

The soak crashed workers at set times only, so that it could not show requests that crash one worker after the other, whatever else fails meanwhile. In half of its seeds with faults, one stream in five now has a part of its prompt that crashes each worker that begins to respond; the relay in front of a crashed worker refuses connections, and the worker registers again when it is back. Checked: three such requests at most from instances without a fault, 3 s after the fifth crash. The other steps of each seed stay as they were.

--- a/lovageridge/tests/soak.rs
+++ b/lovageridge/tests/soak.rs
@@ -12,6 +12,7 @@
 #[test_case(4; "planned work only")]
 #[test_case(19; "kills pauses and links at once")]
 #[test_case(22; "the store and workers at once")]
+#[test_case(1002; "requests that crash workers")]
 fn guarantees_hold(seed: u64) {
     let outcome =
         soak::run_seed(Path::new(env!("CARGO_BIN_EXE_lovageridge")), seed, INSTANCE_COUNT);
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -217,6 +217,11 @@
         self.shared.restart(down);
     }
 
+    /// Returns whether the worker is down after a crash.
+    pub fn is_down(&self) -> bool {
+        self.shared.port.is_suspended()
+    }
+
     /// Names a limit on the requests a second in all responses from now on, or none.
     pub fn set_limit(&self, limit: Option<&str>) {
         self.shared.lock().limit = limit.map(str::to_owned);
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -50,6 +50,8 @@
     HoldAnswers = 5,
     /// Passes everything on late.
     Slow = 6,
+    /// Refuses connections, as if no process listened on the port.
+    Refuse = 7,
 }
 
 impl Mode {
@@ -72,6 +74,7 @@
             Self::Hold,
             Self::HoldAnswers,
             Self::Slow,
+            Self::Refuse,
         ];
         modes[usize::from(number)]
     }
@@ -124,7 +127,7 @@
             to,
         });
         let for_listener = Arc::clone(&shared);
-        thread::spawn(move || accept(&listener, &for_listener));
+        thread::spawn(move || accept(listener, addr, &for_listener));
         Ok(Self { addr, shared })
     }
 
@@ -141,7 +144,7 @@
     /// Changes what happens to connections; open ones are cut when traffic no longer passes.
     pub fn set_mode(&self, mode: Mode) {
         self.shared.mode.store(mode as u8, Ordering::SeqCst);
-        if mode == Mode::Reset {
+        if matches!(mode, Mode::Reset | Mode::Refuse) {
             self.cut();
         }
     }
@@ -161,9 +164,15 @@
     }
 }
 
-fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
+fn accept(listener: TcpListener, addr: SocketAddr, shared: &Arc<Shared>) {
+    let mut listener = Some(listener);
     while !shared.stopped.load(Ordering::SeqCst) {
-        let Ok((stream, _)) = listener.accept() else {
+        listener = match listener {
+            _ if shared.mode() == Mode::Refuse => None,
+            Some(open) => Some(open),
+            None => reopen(addr),
+        };
+        let Some(Ok((stream, _))) = listener.as_ref().map(TcpListener::accept) else {
             thread::sleep(ACCEPT_PAUSE);
             continue;
         };
@@ -176,6 +185,13 @@
     }
 }
 
+/// Listens on `addr` again; `None` if that fails for now.
+fn reopen(addr: SocketAddr) -> Option<TcpListener> {
+    let listener = TcpListener::bind(addr).ok()?;
+    listener.set_nonblocking(true).ok()?;
+    Some(listener)
+}
+
 fn connect(shared: &Arc<Shared>, from: TcpStream) {
     if from.set_nonblocking(false).is_err() {
         return;
--- a/standins/src/soak.rs
+++ b/standins/src/soak.rs
@@ -30,6 +30,7 @@
 use crate::soak::check::Observations;
 use crate::soak::check::Violation;
 use crate::soak::check::find_violations;
+use crate::soak::plan::Fault;
 use crate::soak::plan::Step;
 use crate::soak::plan::plan;
 use crate::soak::site::Site;
@@ -184,6 +185,7 @@
         ports: site.ports(),
         requests: Mutex::default(),
         probed_version: Mutex::new(None),
+        sends_crashing_part: AtomicBool::new(false),
         stopped: AtomicBool::new(false),
         seed,
     };
@@ -236,6 +238,9 @@
     let start = Instant::now() + WARM_UP;
     for (at_ms, starts, step) in due {
         wait_until(site, start + Duration::from_millis(at_ms))?;
+        if step.fault == Fault::CrashingPart {
+            load.sends_crashing_part.store(starts, Ordering::Relaxed);
+        }
         if starts {
             site.begin_fault(step)?;
             *lock(&load.probed_version) = site.config_versions.last().map(|(version, _)| *version);
@@ -251,6 +256,7 @@
 fn wait_until(site: &mut Site, time: Instant) -> Result<(), anyhow::Error> {
     while Instant::now() < time {
         site.restart_exited_instances()?;
+        site.follow_crashed_workers();
         thread::sleep(POLL_INTERVAL);
     }
     Ok(())
--- a/standins/src/soak/callers.rs
+++ b/standins/src/soak/callers.rs
@@ -30,6 +30,10 @@
 const MAX_DISCONNECT_DELAY_MS: u64 = 400;
 /// One request in this many is sent on a new connection to a random instance.
 const RECONNECT_EVERY: u32 = 10;
+/// Prompt part that crashes workers.
+pub const CRASHING_PART: &str = "dead";
+/// One request in this many has it while such requests come.
+const CRASHING_PART_EVERY: u64 = 5;
 /// Number of models that callers request; a worker has memory for fewer.
 pub const MODEL_COUNT: usize = 6;
 
@@ -101,6 +105,8 @@
     pub kind: RequestKind,
     /// Request path.
     pub path: String,
+    /// Whether its prompt has the part that crashes workers.
+    pub has_crashing_part: bool,
     /// Index of the instance that it was sent to.
     pub instance: usize,
     /// Time at which its last byte was written.
@@ -120,6 +126,8 @@
     /// Newest version of the configuration whose route callers request; `None` before the first
     /// fault.
     pub probed_version: Mutex<Option<u64>>,
+    /// Whether some requests have the prompt part that crashes workers.
+    pub sends_crashing_part: AtomicBool,
     /// Set to stop the callers.
     pub stopped: AtomicBool,
     /// Seed from which callers derive their random choices.
@@ -146,7 +154,24 @@
             let id = format!("s{}c{number}n{count}", self.seed);
             let kind = self.random_kind(&mut rng);
             let request = build_request(&mut rng, kind, &id);
-            connection = self.send(&mut rng, caller, kind, &request, instance);
+            let has_crashing_part = kind.is_streaming()
+                && count % CRASHING_PART_EVERY == 0
+                && self.sends_crashing_part.load(Ordering::Relaxed);
+            let request = match kind.is_streaming() {
+                true => add_prompt(request, number, has_crashing_part),
+                false => request,
+            };
+            let mut record = SentRequest {
+                id,
+                kind,
+                path: request.path.clone(),
+                has_crashing_part,
+                instance,
+                sent_at: Instant::now(),
+                ended_at: Instant::now(),
+                end: RequestEnd::Unanswered,
+            };
+            connection = self.send(&mut rng, caller, &request, &mut record);
             thread::sleep(Duration::from_millis(rng.random_range(0..MAX_PAUSE_MS)));
         }
     }
@@ -167,12 +192,11 @@
         &self,
         rng: &mut StdRng,
         mut caller: Caller,
-        kind: RequestKind,
         request: &CallerRequest,
-        instance: usize,
+        record: &mut SentRequest,
     ) -> Option<Caller> {
         caller.write(&request.to_bytes()).ok()?;
-        let sent = Instant::now();
+        record.sent_at = Instant::now();
         let disconnects = rng.random_ratio(1, DISCONNECT_EVERY);
         let (end, connection) = if disconnects {
             thread::sleep(Duration::from_millis(rng.random_range(0..MAX_DISCONNECT_DELAY_MS)));
@@ -181,16 +205,9 @@
         } else {
             read_response(caller)
         };
-        let record = SentRequest {
-            id: request.id.clone(),
-            kind,
-            path: request.path.clone(),
-            instance,
-            sent_at: sent,
-            ended_at: Instant::now(),
-            end,
-        };
-        lock(&self.requests).push(record);
+        record.ended_at = Instant::now();
+        record.end = end;
+        lock(&self.requests).push(record.clone());
         connection
     }
 }
@@ -212,6 +229,16 @@
     CallerRequest { deadline_ms: DEADLINE_MS, ..request }
 }
 
+/// Adds the parts of a prompt: one that all share, one of the caller, and one of the request.
+fn add_prompt(request: CallerRequest, caller: usize, has_crashing_part: bool) -> CallerRequest {
+    let (caller, own) = (format!("c{caller}"), request.id.clone());
+    let parts: &[&str] = match has_crashing_part {
+        true => &["f0", &caller, CRASHING_PART, &own],
+        false => &["f0", &caller, &own],
+    };
+    request.with_prompt(parts)
+}
+
 fn read_response(mut caller: Caller) -> (RequestEnd, Option<Caller>) {
     let Ok(response) = caller.read_response() else { return (RequestEnd::Unanswered, None) };
     let server_closes = response.header("connection").is_some_and(|value| value == "close");
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -33,6 +33,10 @@
 const MAX_LATE_SHARE: f64 = 0.25;
 /// Minimum number of requests for a check of a share.
 const MIN_SAMPLE_SIZE: usize = 8;
+/// Number of crashes from which on requests with a part that crashes workers are limited, by the platform's rules.
+const CRASHES_BEFORE_LIMIT: usize = 5;
+/// Number of such requests that may still reach workers.
+const MAX_LATE_RUNS: usize = 3;
 /// Memory of a worker, in MB, as in the specification of the deployment's engine workers.
 const WORKER_MEMORY_MB: u64 = 200;
 
@@ -108,6 +112,7 @@
     check_planned_work(observed, &runs, &mut report);
     check_configuration(observed, &mut report);
     check_leaving_workers(observed, &mut report);
+    check_crashing_part(observed, &mut report);
     check_recovery(observed, &mut report);
     for instance in &observed.unexpected_exits {
         report("instances exit only when stopped", format!("instance {instance}"));
@@ -355,8 +360,7 @@
     for worker in &observed.workers {
         let Some(left) = worker.leaving_since else { continue };
         for run in worker.runs.iter().filter(|run| run.started_at > left + DRAIN_TIME) {
-            let sent = observed.requests.iter().find(|sent| sent.id == run.id);
-            let applies = sent.is_some_and(|sent| {
+            let applies = find_request(observed, run).is_some_and(|sent| {
                 is_instance_undisturbed(observed, sent.instance, left, run.started_at)
             });
             if applies {
@@ -366,6 +370,34 @@
     }
 }
 
+/// Few requests with the part that crashes workers reach workers once enough of these have crashed.
+fn check_crashing_part(observed: &Observations, report: &mut impl FnMut(&'static str, String)) {
+    let runs = observed.workers.iter().flat_map(|worker| &worker.runs);
+    let mut bad: Vec<(&Run, &SentRequest)> =
+        runs.filter_map(|run| Some((run, find_request(observed, run)?))).collect();
+    bad.retain(|(_, sent)| sent.has_crashing_part);
+    bad.sort_by_key(|(run, _)| run.started_at);
+    let Some((fifth, _)) = bad.get(CRASHES_BEFORE_LIMIT - 1) else { return };
+    let limited_from = fifth.started_at + FAULT_FREE_TIME;
+    let is_late = |(run, sent): &&(&Run, &SentRequest)| {
+        run.started_at > limited_from && is_sent_undisturbed(observed, run, sent)
+    };
+    let late: Vec<&str> = bad.iter().filter(is_late).map(|(run, _)| run.id.as_str()).collect();
+    if late.len() > MAX_LATE_RUNS {
+        let detail = format!("{late:?} of {} ran late", bad.len());
+        report("requests that crash workers stop reaching them", detail);
+    }
+}
+
+fn find_request<'a>(observed: &'a Observations, run: &Run) -> Option<&'a SentRequest> {
+    observed.requests.iter().find(|sent| sent.id == run.id)
+}
+
+/// Returns whether the instance that sent a request to a worker had no fault before the run.
+fn is_sent_undisturbed(observed: &Observations, run: &Run, sent: &SentRequest) -> bool {
+    is_instance_undisturbed(observed, sent.instance, run.started_at, run.started_at)
+}
+
 /// Every request is served after the deployment has had time to recover from the last fault.
 fn check_recovery(observed: &Observations, report: &mut impl FnMut(&'static str, String)) {
     let Some(recovered) = observed.recovery_deadline else { return };
@@ -414,6 +446,7 @@
         | Fault::Configure
         | Fault::ReplaceWorker(_)
         | Fault::WorkerBehavior(..)
-        | Fault::CrashWorker(_) => false,
+        | Fault::CrashWorker(_)
+        | Fault::CrashingPart => false,
     })
 }
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -55,6 +55,10 @@
 ];
 /// Number of kinds at the start of `FAULT_KINDS` that are planned work.
 const PLANNED_KIND_COUNT: usize = 4;
+/// Changes a seed to the one from which faults that depend on requests are derived.
+const REQUEST_FAULTS_SEED: u64 = 0x9e37_79b9_7f4a_7c15;
+/// Duration of these faults, in ms: their guarantees have a time limit of 3 s.
+const REQUEST_FAULT_MS: u64 = 9_000;
 /// Number of complete events after which a worker ends a stream in the middle of the next one.
 const INTERRUPT_AFTER_EVENTS: u64 = 4;
 
@@ -117,6 +121,8 @@
     TruncateHistory,
     /// The store is unavailable, and the workers' records expire during that time.
     ExpireWorkers,
+    /// Some requests have a prompt part that crashes each worker that begins to respond to it.
+    CrashingPart,
 }
 
 impl Fault {
@@ -160,10 +166,25 @@
             at_ms += rng.random_range(0..2 * SERIES_GAP_MS);
         }
     }
+    if !planned_only {
+        add_request_faults(&mut steps, seed);
+    }
     steps.sort_by_key(|step| step.start_ms);
     steps
 }
 
+/// Adds faults that depend on requests. They have a random number generator of their own, so that the other
+/// steps of a seed stay the same.
+fn add_request_faults(steps: &mut Vec<Step>, seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed ^ REQUEST_FAULTS_SEED);
+    let mut add = |fault, start_ms| {
+        steps.push(Step { start_ms, duration_ms: REQUEST_FAULT_MS, fault });
+    };
+    if rng.random_bool(0.5) {
+        add(Fault::CrashingPart, rng.random_range(0..FAULT_WINDOW_MS / 2));
+    }
+}
+
 fn random_fault(rng: &mut StdRng, kind: FaultKind, sizes: DeploymentSize) -> Fault {
     let instance = rng.random_range(0..sizes.instances);
     let worker = rng.random_range(0..sizes.workers);
--- a/standins/src/soak/site.rs
+++ b/standins/src/soak/site.rs
@@ -20,6 +20,7 @@
 use crate::platform::worker::WorkerStandIn;
 use crate::relay::Mode;
 use crate::relay::Relay;
+use crate::soak::callers::CRASHING_PART;
 use crate::soak::check::FaultPeriod;
 use crate::soak::check::WorkerObservations;
 use crate::soak::plan::DeploymentSize;
@@ -41,6 +42,9 @@
 /// still get requests, plus the time limit of a request.
 const LEAVING_TIME: Duration = Duration::from_millis(2_000 + ROUTE_TIMEOUT_MS);
 
+/// Time for which a worker is down after a crash that a request has caused.
+const DOWN_TIME: Duration = Duration::from_millis(700);
+
 /// A worker and the relay in front of it; restarts and replacements of the worker stay in the slot.
 struct WorkerSlot {
     worker: WorkerStandIn,
@@ -50,6 +54,33 @@
     leaving_since: Option<Instant>,
     // Number of active faults of the link; a crash counts as one.
     active_faults: usize,
+    // Whether a request has crashed the worker, and it is not back yet.
+    is_down: bool,
+}
+
+impl WorkerSlot {
+    fn start(at: usize, replacements: usize, spec: WorkerSpec) -> Result<Self, anyhow::Error> {
+        let worker = WorkerStandIn::start(&worker_id(at, replacements), spec)?;
+        worker.crash_on_part(CRASHING_PART, DOWN_TIME);
+        Ok(Self {
+            relay: Relay::start(worker.addr())?,
+            worker,
+            replacements,
+            leaving_since: None,
+            active_faults: 0,
+            is_down: false,
+        })
+    }
+
+    fn observations(&self) -> WorkerObservations {
+        WorkerObservations {
+            id: self.worker.id().to_owned(),
+            runs: self.worker.runs(),
+            fences: self.worker.fences(),
+            peak_mb: self.worker.peak_mb(),
+            leaving_since: self.leaving_since,
+        }
+    }
 }
 
 /// Relays of an instance and the number of active faults of each kind.
@@ -68,7 +99,7 @@
     links: Vec<InstanceLinks>,
     worker_slots: Vec<WorkerSlot>,
     // Workers that crashed or left; their observations are still checked.
-    retired_workers: Vec<(WorkerStandIn, Option<Instant>)>,
+    retired_slots: Vec<WorkerSlot>,
     active_store_faults: usize,
     /// Periods of faults and planned work so far.
     pub fault_periods: Vec<FaultPeriod>,
@@ -91,7 +122,7 @@
             deployment,
             links: Vec::new(),
             worker_slots: Vec::new(),
-            retired_workers: Vec::new(),
+            retired_slots: Vec::new(),
             active_store_faults: 0,
             fault_periods: Vec::new(),
             config_versions: Vec::new(),
@@ -100,16 +131,7 @@
         };
         site.write_config(1);
         for at in 0..PLAIN_WORKERS + ENGINE_WORKERS {
-            let worker = WorkerStandIn::start(&worker_id(at, 0), worker_spec(at))?;
-            let relay = Relay::start(worker.addr())?;
-            let slot = WorkerSlot {
-                worker,
-                relay,
-                replacements: 0,
-                leaving_since: None,
-                active_faults: 0,
-            };
-            site.worker_slots.push(slot);
+            site.worker_slots.push(WorkerSlot::start(at, 0, worker_spec(at))?);
             site.announce(at, "ready");
         }
         for at in 0..instances {
@@ -189,6 +211,8 @@
                 self.deployment.store.truncate_history("keyed.op");
                 self.deployment.store.truncate_history("keyed.servers");
             }
+            // Callers send such requests while the fault lasts.
+            Fault::CrashingPart => {}
             Fault::ExpireWorkers => {
                 self.begin_store_fault(StoreBehavior::Unavailable);
                 for slot in &self.worker_slots {
@@ -259,11 +283,35 @@
                     }
                 }
             }
-            Fault::ReloadSettings(_) | Fault::Configure | Fault::TruncateHistory => {}
+            Fault::ReloadSettings(_)
+            | Fault::Configure
+            | Fault::TruncateHistory
+            | Fault::CrashingPart => {}
         }
         Ok(())
     }
 
+    /// Makes the relays of workers that requests have crashed refuse connections, and announces workers that
+    /// are back.
+    pub fn follow_crashed_workers(&mut self) {
+        for at in 0..self.worker_slots.len() {
+            let slot = &mut self.worker_slots[at];
+            let is_down = slot.worker.is_down();
+            if is_down == slot.is_down {
+                continue;
+            }
+            slot.is_down = is_down;
+            if is_down {
+                slot.relay.set_mode(Mode::Refuse);
+                continue;
+            }
+            // A fault of the link may have begun meanwhile.
+            slot.relay.set_mode(if slot.active_faults == 0 { Mode::Pass } else { Mode::Reset });
+            let state = if slot.leaving_since.is_some() { "draining" } else { "ready" };
+            self.announce(at, state);
+        }
+    }
+
     /// Records instances that exited although they were not stopped, and starts them again.
     ///
     /// # Errors
@@ -282,9 +330,7 @@
 
     /// Returns the observations of all workers, including those that crashed or left.
     pub fn worker_observations(&self) -> Vec<WorkerObservations> {
-        let current = self.worker_slots.iter().map(|slot| (&slot.worker, slot.leaving_since));
-        let retired = self.retired_workers.iter().map(|(worker, left)| (worker, *left));
-        current.chain(retired).map(|(worker, left)| observe_worker(worker, left)).collect()
+        self.worker_slots.iter().chain(&self.retired_slots).map(WorkerSlot::observations).collect()
     }
 
     /// Returns the complete log of each instance.
@@ -294,13 +340,10 @@
 
     /// Stops all processes, stand-ins and relays.
     pub fn close(self) {
-        for slot in self.worker_slots {
+        for slot in self.worker_slots.into_iter().chain(self.retired_slots) {
             slot.relay.close();
             slot.worker.close();
         }
-        for (worker, _) in self.retired_workers {
-            worker.close();
-        }
         self.deployment.close();
         for links in self.links {
             links.store.close();
@@ -340,23 +383,16 @@
 
     /// Starts a worker in the slot of one that has crashed or left.
     fn start_worker(&mut self, at: usize, new_id: bool) -> Result<(), anyhow::Error> {
-        let slot = &mut self.worker_slots[at];
-        let leaving_since = slot.leaving_since;
+        let slot = &self.worker_slots[at];
         if new_id {
             self.deployment.store.put("keyed.servers", slot.worker.id(), b"");
-            slot.replacements += 1;
         }
-        // A worker that starts again has no models loaded. The retired worker keeps the time since
-        // which it was leaving, also after a crash.
+        // A worker that starts again has no models loaded.
         let empty = WorkerSpec { models: Vec::new(), ..worker_spec(at) };
-        let worker = WorkerStandIn::start(&worker_id(at, slot.replacements), empty)?;
-        let relay = Relay::start(worker.addr())?;
-        let old_relay = std::mem::replace(&mut slot.relay, relay);
-        old_relay.set_mode(Mode::Reset);
-        let old = std::mem::replace(&mut slot.worker, worker);
-        slot.active_faults = 0;
-        slot.leaving_since = None;
-        self.retired_workers.push((old, leaving_since));
+        let started = WorkerSlot::start(at, slot.replacements + usize::from(new_id), empty)?;
+        let retired = std::mem::replace(&mut self.worker_slots[at], started);
+        retired.relay.set_mode(Mode::Reset);
+        self.retired_slots.push(retired);
         self.announce(at, "ready");
         Ok(())
     }
@@ -397,13 +433,3 @@
     let first = 2 * (at - PLAIN_WORKERS);
     engine_worker(&[&format!("m{first}"), &format!("m{}", first + 1)])
 }
-
-fn observe_worker(worker: &WorkerStandIn, left: Option<Instant>) -> WorkerObservations {
-    WorkerObservations {
-        id: worker.id().to_owned(),
-        runs: worker.runs(),
-        fences: worker.fences(),
-        peak_mb: worker.peak_mb(),
-        leaving_since: left,
-    }
-}
--- a/standins/src/soak/tests.rs
+++ b/standins/src/soak/tests.rs
@@ -44,6 +44,7 @@
         id: "r1".to_owned(),
         kind: RequestKind::Book,
         path: path.clone(),
+        has_crashing_part: false,
         instance: 0,
         sent_at: start,
         ended_at: start + ms(20),
@@ -273,3 +274,34 @@
     let kinds = plans.iter().flatten().filter(|step| !step.fault.is_planned()).count();
     assert!(kinds > plans.len(), "seeds without unplanned faults: {kinds}");
 }
+
+/// Adds `count` requests that ran on the worker, the first 500 ms after the start, `interval` apart.
+fn add_runs(observed: &mut Observations, count: u32, interval: Duration, has_crashing_part: bool) {
+    let (sent, run) = (observed.requests[0].clone(), observed.workers[0].runs[0].clone());
+    for at in 0..count {
+        let started_at = sent.sent_at + ms(500) + interval * at;
+        let id = format!("m{at}");
+        observed.workers[0].runs.push(Run { id: id.clone(), started_at, ..run.clone() });
+        observed.requests.push(SentRequest {
+            id,
+            kind: RequestKind::Look,
+            has_crashing_part,
+            sent_at: started_at,
+            ended_at: started_at + ms(20),
+            end: RequestEnd::Unanswered,
+            ..sent.clone()
+        });
+    }
+}
+
+#[test_case(false, 20, false; "sound requests")]
+#[test_case(true, 9, false; "all before the limit")]
+#[test_case(true, 20, true; "further ones afterwards")]
+fn requests_that_go_on_crashing_workers_are_detected(has_part: bool, count: u32, detected: bool) {
+    let found = violated_guarantees(|observed, start| {
+        add_runs(observed, count, ms(400), has_part);
+        let fault = Fault::CrashingPart;
+        observed.fault_periods.push(FaultPeriod { fault, from: start, to: start + ms(9000) });
+    });
+    assert_eq!(found.contains(&"requests that crash workers stop reaching them"), detected);
+}
