Soak: workers that limit their requests, beside all other faults

Up to four workers of a seed with faults state limits from 0.3 to 10 requests a second for 9 s, some of them over a restart. Checked: in no 4 s more than one and a half times the limit and five requests, from instances without a fault, once it was stated for 3 s.

--- a/lovageridge/tests/soak.rs
+++ b/lovageridge/tests/soak.rs
@@ -13,6 +13,7 @@
 #[test_case(19; "kills pauses and links at once")]
 #[test_case(22; "the store and workers at once")]
 #[test_case(1002; "requests that crash workers")]
+#[test_case(1005; "workers that limit their requests")]
 fn guarantees_hold(seed: u64) {
     let outcome =
         soak::run_seed(Path::new(env!("CARGO_BIN_EXE_lovageridge")), seed, INSTANCE_COUNT);
--- a/standins/src/soak/check.rs
+++ b/standins/src/soak/check.rs
@@ -37,6 +37,12 @@
 const CRASHES_BEFORE_LIMIT: usize = 5;
 /// Number of such requests that may still reach workers.
 const MAX_LATE_RUNS: usize = 3;
+/// Window in which the requests to a worker that limits them are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Multiple of its limit that may arrive in the window, by the platform's rules.
+const LIMIT_FACTOR: f64 = 1.5;
+/// Number of requests that may arrive beyond that.
+const LIMIT_SLACK: f64 = 5.0;
 /// Memory of a worker, in MB, as in the specification of the deployment's engine workers.
 const WORKER_MEMORY_MB: u64 = 200;
 
@@ -51,6 +57,15 @@
     pub to: Instant,
 }
 
+/// A limit that a worker states on the rate of its requests.
+#[derive(Clone, Copy, Debug)]
+pub struct StatedLimit {
+    /// Requests a second from all instances together; `None` if it states no limit any longer.
+    pub per_s: Option<f64>,
+    /// Time from which on it states it.
+    pub since: Instant,
+}
+
 /// What one worker process observed; a worker that is started again is a new one.
 #[derive(Clone, Debug)]
 pub struct WorkerObservations {
@@ -65,6 +80,8 @@
     /// Time at which the store had the worker's record with the state `draining`; `None` while it is
     /// in service.
     pub leaving_since: Option<Instant>,
+    /// Limits that it stated, in order.
+    pub limits: Vec<StatedLimit>,
 }
 
 /// Everything that a run recorded for the checks.
@@ -113,6 +130,7 @@
     check_configuration(observed, &mut report);
     check_leaving_workers(observed, &mut report);
     check_crashing_part(observed, &mut report);
+    check_limits(observed, &mut report);
     check_recovery(observed, &mut report);
     for instance in &observed.unexpected_exits {
         report("instances exit only when stopped", format!("instance {instance}"));
@@ -389,6 +407,34 @@
     }
 }
 
+/// A worker that limits its requests gets few more from instances without a fault, once it has stated the limit
+/// for `FAULT_FREE_TIME`.
+fn check_limits(observed: &Observations, report: &mut impl FnMut(&'static str, String)) {
+    for worker in &observed.workers {
+        let ends = worker.limits.iter().skip(1).map(|next| Some(next.since)).chain([None]);
+        for (limit, end) in worker.limits.iter().zip(ends) {
+            let Some(per_s) = limit.per_s else { continue };
+            let from = limit.since + FAULT_FREE_TIME;
+            let counts = |run: &&Run| {
+                run.started_at >= from
+                    && end.is_none_or(|end| run.started_at < end)
+                    && find_request(observed, run)
+                        .is_some_and(|sent| is_sent_undisturbed(observed, run, sent))
+            };
+            let counted = worker.runs.iter().filter(counts);
+            let starts: Vec<Instant> = counted.map(|run| run.started_at).collect();
+            let in_window = |from: &Instant| {
+                starts.iter().filter(|at| **at >= *from && **at < *from + LIMIT_WINDOW).count()
+            };
+            let most = starts.iter().map(in_window).max().unwrap_or(0);
+            if most as f64 > LIMIT_FACTOR * per_s * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK {
+                let detail = format!("{}: {most} in 4 s at a limit of {per_s} a second", worker.id);
+                report("a limit holds over all instances together", detail);
+            }
+        }
+    }
+}
+
 fn find_request<'a>(observed: &'a Observations, run: &Run) -> Option<&'a SentRequest> {
     observed.requests.iter().find(|sent| sent.id == run.id)
 }
@@ -447,6 +493,7 @@
         | Fault::ReplaceWorker(_)
         | Fault::WorkerBehavior(..)
         | Fault::CrashWorker(_)
-        | Fault::CrashingPart => false,
+        | Fault::CrashingPart
+        | Fault::LimitWorker(..) => false,
     })
 }
--- a/standins/src/soak/plan.rs
+++ b/standins/src/soak/plan.rs
@@ -57,8 +57,13 @@
 const PLANNED_KIND_COUNT: usize = 4;
 /// Changes a seed to the one from which faults that depend on requests are derived.
 const REQUEST_FAULTS_SEED: u64 = 0x9e37_79b9_7f4a_7c15;
-/// Duration of these faults, in ms: their guarantees have a time limit of 3 s.
+/// Duration of these faults, in ms: their guarantees have a time limit of 3 s, and one of them counts requests
+/// in 4 s.
 const REQUEST_FAULT_MS: u64 = 9_000;
+/// Largest number of workers of a plan that limit their requests.
+const MAX_LIMITS: usize = 4;
+/// Requests in 10 s that such a worker takes.
+const LIMITS_PER_10_S: [u32; 5] = [3, 10, 20, 45, 100];
 /// Number of complete events after which a worker ends a stream in the middle of the next one.
 const INTERRUPT_AFTER_EVENTS: u64 = 4;
 
@@ -123,6 +128,8 @@
     ExpireWorkers,
     /// Some requests have a prompt part that crashes each worker that begins to respond to it.
     CrashingPart,
+    /// A worker states how many requests it takes in 10 s from all instances together.
+    LimitWorker(usize, u32),
 }
 
 impl Fault {
@@ -167,7 +174,7 @@
         }
     }
     if !planned_only {
-        add_request_faults(&mut steps, seed);
+        add_request_faults(&mut steps, seed, sizes);
     }
     steps.sort_by_key(|step| step.start_ms);
     steps
@@ -175,7 +182,7 @@
 
 /// Adds faults that depend on requests. They have a random number generator of their own, so that the other
 /// steps of a seed stay the same.
-fn add_request_faults(steps: &mut Vec<Step>, seed: u64) {
+fn add_request_faults(steps: &mut Vec<Step>, seed: u64, sizes: DeploymentSize) {
     let mut rng = StdRng::seed_from_u64(seed ^ REQUEST_FAULTS_SEED);
     let mut add = |fault, start_ms| {
         steps.push(Step { start_ms, duration_ms: REQUEST_FAULT_MS, fault });
@@ -183,6 +190,11 @@
     if rng.random_bool(0.5) {
         add(Fault::CrashingPart, rng.random_range(0..FAULT_WINDOW_MS / 2));
     }
+    for _ in 0..rng.random_range(0..=MAX_LIMITS) {
+        let worker = rng.random_range(0..sizes.workers);
+        let limit = LIMITS_PER_10_S[rng.random_range(0..LIMITS_PER_10_S.len())];
+        add(Fault::LimitWorker(worker, limit), rng.random_range(0..FAULT_WINDOW_MS));
+    }
 }
 
 fn random_fault(rng: &mut StdRng, kind: FaultKind, sizes: DeploymentSize) -> Fault {
--- a/standins/src/soak/site.rs
+++ b/standins/src/soak/site.rs
@@ -22,6 +22,7 @@
 use crate::relay::Relay;
 use crate::soak::callers::CRASHING_PART;
 use crate::soak::check::FaultPeriod;
+use crate::soak::check::StatedLimit;
 use crate::soak::check::WorkerObservations;
 use crate::soak::plan::DeploymentSize;
 use crate::soak::plan::Fault;
@@ -56,6 +57,8 @@
     active_faults: usize,
     // Whether a request has crashed the worker, and it is not back yet.
     is_down: bool,
+    active_limits: usize,
+    limits: Vec<StatedLimit>,
 }
 
 impl WorkerSlot {
@@ -69,9 +72,16 @@
             leaving_since: None,
             active_faults: 0,
             is_down: false,
+            active_limits: 0,
+            limits: Vec::new(),
         })
     }
 
+    fn state_limit(&mut self, per_s: Option<f64>) {
+        self.worker.set_limit(per_s.map(|per_s| per_s.to_string()).as_deref());
+        self.limits.push(StatedLimit { per_s, since: Instant::now() });
+    }
+
     fn observations(&self) -> WorkerObservations {
         WorkerObservations {
             id: self.worker.id().to_owned(),
@@ -79,6 +89,7 @@
             fences: self.worker.fences(),
             peak_mb: self.worker.peak_mb(),
             leaving_since: self.leaving_since,
+            limits: self.limits.clone(),
         }
     }
 }
@@ -213,6 +224,10 @@
             }
             // Callers send such requests while the fault lasts.
             Fault::CrashingPart => {}
+            Fault::LimitWorker(at, per_10_s) => {
+                self.worker_slots[at].active_limits += 1;
+                self.worker_slots[at].state_limit(Some(f64::from(per_10_s) / 10.0));
+            }
             Fault::ExpireWorkers => {
                 self.begin_store_fault(StoreBehavior::Unavailable);
                 for slot in &self.worker_slots {
@@ -283,6 +298,14 @@
                     }
                 }
             }
+            Fault::LimitWorker(at, _) => {
+                let slot = &mut self.worker_slots[at];
+                // The worker may have been replaced by one without a limit.
+                slot.active_limits = slot.active_limits.saturating_sub(1);
+                if slot.active_limits == 0 {
+                    slot.state_limit(None);
+                }
+            }
             Fault::ReloadSettings(_)
             | Fault::Configure
             | Fault::TruncateHistory
@@ -389,7 +412,11 @@
         }
         // A worker that starts again has no models loaded.
         let empty = WorkerSpec { models: Vec::new(), ..worker_spec(at) };
-        let started = WorkerSlot::start(at, slot.replacements + usize::from(new_id), empty)?;
+        let mut started = WorkerSlot::start(at, slot.replacements + usize::from(new_id), empty)?;
+        if !new_id && slot.active_limits > 0 {
+            started.active_limits = slot.active_limits;
+            started.state_limit(slot.limits.last().and_then(|limit| limit.per_s));
+        }
         let retired = std::mem::replace(&mut self.worker_slots[at], started);
         retired.relay.set_mode(Mode::Reset);
         self.retired_slots.push(retired);
--- a/standins/src/soak/tests.rs
+++ b/standins/src/soak/tests.rs
@@ -13,6 +13,7 @@
 use crate::soak::check::EVENTS_PER_STREAM;
 use crate::soak::check::FaultPeriod;
 use crate::soak::check::Observations;
+use crate::soak::check::StatedLimit;
 use crate::soak::check::WorkerObservations;
 use crate::soak::check::find_violations;
 use crate::soak::plan::DeploymentSize;
@@ -65,6 +66,7 @@
         fences: vec![1, 2, 2],
         peak_mb: 180,
         leaving_since: None,
+        limits: Vec::new(),
     };
     Observations {
         requests: vec![sent],
@@ -305,3 +307,16 @@
     });
     assert_eq!(found.contains(&"requests that crash workers stop reaching them"), detected);
 }
+
+#[test_case(Some(2.0), 500, false; "at its limit")]
+#[test_case(Some(2.0), 200, true; "beyond its limit")]
+#[test_case(None, 200, false; "without a limit")]
+fn a_limit_that_is_exceeded_is_detected(per_s: Option<f64>, interval_ms: u64, detected: bool) {
+    let found = violated_guarantees(|observed, start| {
+        add_runs(observed, (9000 / interval_ms) as u32, ms(interval_ms), false);
+        observed.workers[0].limits.push(StatedLimit { per_s, since: start });
+        let fault = Fault::LimitWorker(0, 20);
+        observed.fault_periods.push(FaultPeriod { fault, from: start, to: start + ms(9000) });
+    });
+    assert_eq!(found.contains(&"a limit holds over all instances together"), detected);
+}
