Split the choice of a worker from the handling of a request

The choice of a worker and the waits for its model and its limit are in attempt/acquire.rs now; no statement changed.

--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -27,27 +27,21 @@
 use crate::gateway::connection;
 use crate::gateway::connection::SendBody;
 use crate::gateway::crashes;
-use crate::gateway::crashes::driver::Admission;
-use crate::gateway::crashes::driver::admit;
-use crate::gateway::crashes::driver::wait_for_checks;
-use crate::gateway::directory::choose::ChooseError;
-use crate::gateway::directory::choose::Requirements;
-use crate::gateway::directory::choose::choose;
-use crate::gateway::directory::choose::limited_until_ms;
 use crate::gateway::eventlog::Severity;
-use crate::gateway::limits;
 use crate::gateway::message_fields::RequestFields;
 use crate::gateway::message_fields::ResponseFields;
 use crate::gateway::relay::Relay;
 use crate::gateway::response::Refusal;
 use crate::gateway::response::ResponseBody;
-use crate::gateway::settings::GatewaySettings;
 use crate::gateway::waits::Target;
 use crate::platform::headers;
 use crate::telemetry::events;
 
+mod acquire;
 pub mod send;
 
+use crate::gateway::attempt::acquire::acquire_worker;
+use crate::gateway::attempt::acquire::find_worker;
 use crate::gateway::attempt::send::IncomingResponse;
 use crate::gateway::attempt::send::SendResult;
 use crate::gateway::attempt::send::millis;
@@ -78,24 +72,10 @@
 const FAILOVER_MIN_MS: u64 = 250;
 /// Shortest time without response headers of a stream after which another worker is tried, in ms.
 const FAILOVER_STREAM_MIN_MS: u64 = 2000;
-/// Retry-After when a model was not loaded in time, in ms; a load from disk takes about that long.
-const RETRY_AFTER_MODEL_WAIT_MS: u64 = 700;
-/// Largest random addition to the Retry-After when a model will be loaded too late, as a share of
-/// the time until then, so that callers do not all return at once.
-const RETRY_AFTER_JITTER: f64 = 0.25;
 /// Retry-After when workers are full or connections failed, in ms.
 const RETRY_AFTER_BUSY_MS: u64 = 150;
-/// Retry-After when no worker of the service is known or the model is not configured, in ms.
-const RETRY_AFTER_UNKNOWN_MS: u64 = 800;
 /// Retry-After of an instance that is stopping, in ms; another instance takes the retry.
 pub const RETRY_AFTER_STOPPING_MS: u64 = 50;
-/// Retry-After of an instance in a partitioned domain, in ms. The load balancer fails over after
-/// two probes, one second apart, so by then it sends callers elsewhere.
-const RETRY_AFTER_PARTITIONED_MS: u64 = 1500;
-/// Wait after which it is checked again whether the worker can serve the request, in ms.
-const LIMIT_RECHECK_MS: u64 = 50;
-/// Longest interval between attempts to find a worker while a request waits for a model.
-const WORKER_POLL_INTERVAL: Duration = Duration::from_millis(120);
 
 /// A caller's request with its route and service.
 pub struct Call {
@@ -364,215 +344,6 @@
     Ok(())
 }
 
-fn requirements<'a>(
-    call: &'a Call,
-    settings: &'a GatewaySettings,
-    tried: &'a [String],
-    skip_avoided: bool,
-) -> Requirements<'a> {
-    Requirements {
-        service: &call.service,
-        model: call.target.as_ref().map(|target| target.model.as_str()),
-        adapter: call.target.as_ref().and_then(|target| target.adapter.as_deref()),
-        domain: &settings.domain,
-        tried,
-        skip_avoided,
-    }
-}
-
-fn find_worker(
-    gateway: &Gateway,
-    call: &Call,
-    tried: &[String],
-    skip_avoided: bool,
-) -> Result<ChosenWorker, ChooseError> {
-    let now_ms = gateway.now_ms();
-    let directory = gateway.directory.borrow();
-    let settings = gateway.settings();
-    let requirements = requirements(call, &settings, tried, skip_avoided);
-    let worker = choose(&directory, &requirements, now_ms, rand::random::<f64>)?;
-    Ok(ChosenWorker {
-        id: worker.record.id.clone(),
-        addr: worker.record.addr,
-        domain: worker.record.domain.clone(),
-        load: worker.load_estimate(now_ms),
-        load_age_ms: worker.load_age_ms(now_ms),
-    })
-}
-
-/// Registers a request as waiting for a model; ends when dropped, also when the caller disconnects.
-struct ModelWait<'a> {
-    gateway: &'a Gateway,
-    target: &'a Target,
-    ticket: u64,
-}
-
-impl Drop for ModelWait<'_> {
-    fn drop(&mut self) {
-        self.gateway.waits.borrow_mut().remove(self.target, self.ticket);
-    }
-}
-
-/// Returns a worker for the request, to which it may be sent under the worker's limit.
-async fn acquire_worker(
-    gateway: &Rc<Gateway>,
-    call: &Call,
-    tried: &[String],
-    wait_until_ms: u64,
-) -> Result<ChosenWorker, Refusal> {
-    loop {
-        let chosen = wait_for_worker(gateway, call, tried, wait_until_ms).await?;
-        if !limits::driver::is_limited(gateway, &chosen.id) {
-            return Ok(chosen);
-        }
-        let chosen_ms = gateway.now_ms();
-        let others: Vec<String> = tried.iter().chain([&chosen.id]).cloned().collect();
-        let has_other_worker = find_worker(gateway, call, &others, true).is_ok();
-        let max_wait_ms = match has_other_worker {
-            true => 0,
-            false => wait_until_ms.saturating_sub(chosen_ms).min(limits::WAIT_MAX_MS),
-        };
-        let acquired = limits::driver::acquire(gateway, &chosen.id, max_wait_ms).await;
-        let waited_ms = gateway.now_ms() - chosen_ms;
-        if acquired && (waited_ms <= LIMIT_RECHECK_MS || is_usable(gateway, call, &chosen)) {
-            return Ok(chosen);
-        }
-    }
-}
-
-/// Returns whether a worker that was chosen earlier can still serve the request.
-fn is_usable(gateway: &Gateway, call: &Call, chosen: &ChosenWorker) -> bool {
-    let now_ms = gateway.now_ms();
-    let directory = gateway.directory.borrow();
-    let Some(worker) = directory.get(&chosen.id) else { return false };
-    let holds = call
-        .target
-        .as_ref()
-        .is_none_or(|target| worker.holds(&target.model, target.adapter.as_deref(), now_ms));
-    let blocked = gateway.crashes.ledger.borrow().blocked_among(&call.fields.prompt_parts);
-    holds && worker.accepts_new_requests(now_ms) && (blocked.is_empty() || call.is_probe.get())
-}
-
-/// Waits while all workers for the request are at their limits; returns whether it did.
-///
-/// # Errors
-/// Refuses the request if none of them takes it in time.
-async fn wait_for_limit(
-    gateway: &Gateway,
-    call: &Call,
-    tried: &[String],
-    wait_until_ms: u64,
-) -> Result<bool, Refusal> {
-    let now_ms = gateway.now_ms();
-    let until_ms = {
-        let settings = gateway.settings();
-        let directory = gateway.directory.borrow();
-        limited_until_ms(&directory, &requirements(call, &settings, tried, true), now_ms)
-    };
-    let Some(until_ms) = until_ms else { return Ok(false) };
-    if until_ms >= wait_until_ms {
-        let jitter_ms = (until_ms - now_ms) as f64 * RETRY_AFTER_JITTER * rand::random::<f64>();
-        let retry_after_ms = until_ms - now_ms + jitter_ms as u64;
-        return Err(Refusal::not_run("all workers are at their limits", retry_after_ms));
-    }
-    let changed = gateway.state_changed.notified();
-    let poll_interval = WORKER_POLL_INTERVAL.min(Duration::from_millis(until_ms - now_ms));
-    // Search again without a change as well: another worker may become usable.
-    let _ = timeout(poll_interval, changed).await;
-    Ok(true)
-}
-
-/// Returns a worker for the request, after waiting for its model to be loaded if necessary.
-async fn wait_for_worker(
-    gateway: &Gateway,
-    call: &Call,
-    tried: &[String],
-    wait_until_ms: u64,
-) -> Result<ChosenWorker, Refusal> {
-    let mut model_wait: Option<ModelWait<'_>> = None;
-    wait_for_checks(gateway, tried).await;
-    loop {
-        let changed = gateway.state_changed.notified();
-        let choice = find_worker(gateway, call, tried, true);
-        let admission = admit(gateway, call, !tried.is_empty(), choice.is_ok()).await?;
-        if admission == Admission::ProbeClaimed {
-            continue;
-        }
-        let choose_error = match choice {
-            Ok(chosen) => {
-                if model_wait.is_some() {
-                    record_cold_wait(gateway, call);
-                }
-                return Ok(chosen);
-            }
-            Err(choose_error) => choose_error,
-        };
-        let now_ms = gateway.now_ms();
-        if choose_error == ChooseError::NoWorker {
-            return Err(Refusal::not_run(
-                "no worker of the service is known",
-                RETRY_AFTER_UNKNOWN_MS,
-            ));
-        }
-        if choose_error == ChooseError::NoneEligible
-            && wait_for_limit(gateway, call, tried, wait_until_ms).await?
-        {
-            continue;
-        }
-        let Some(target) = &call.target else {
-            // Plain services need no model, so waiting would not help: use any worker.
-            let any_worker = find_worker(gateway, call, tried, false)
-                .or_else(|_| find_worker(gateway, call, &[], false));
-            return any_worker
-                .map_err(|_| Refusal::not_run("no worker is left", RETRY_AFTER_BUSY_MS));
-        };
-        let engine = call.catalog.engine(&call.service);
-        if engine.is_some_and(|engine| !engine.models.contains(target.model.as_str())) {
-            return Err(Refusal::not_run("the model is not configured", RETRY_AFTER_UNKNOWN_MS));
-        }
-        if gateway.is_partitioned() {
-            return Err(Refusal::not_run(
-                "the failure domain is cut off",
-                RETRY_AFTER_PARTITIONED_MS,
-            ));
-        }
-        let load_due_ms =
-            gateway.directory.borrow().unavailable_until_ms(&target.service, &target.model, now_ms);
-        if let Some(load_due_ms) = load_due_ms
-            .filter(|due_ms| choose_error == ChooseError::NotLoaded && *due_ms > wait_until_ms)
-        {
-            let until_due_ms = load_due_ms - now_ms;
-            let jitter_ms =
-                (until_due_ms as f64 * RETRY_AFTER_JITTER * rand::random::<f64>()) as u64;
-            return Err(Refusal::not_run(
-                "the model cannot be loaded in time",
-                until_due_ms + jitter_ms,
-            ));
-        }
-        if now_ms >= wait_until_ms {
-            record_cold_wait(gateway, call);
-            return Err(Refusal::not_run(
-                "the model was not loaded in time",
-                RETRY_AFTER_MODEL_WAIT_MS,
-            ));
-        }
-        if model_wait.is_none() {
-            let ticket = gateway.waits.borrow_mut().add(target, call.objective_at_ms(), tried);
-            model_wait = Some(ModelWait { gateway, target, ticket });
-            gateway.demand_report_due.notify_one();
-        }
-        let poll_interval = WORKER_POLL_INTERVAL.min(Duration::from_millis(wait_until_ms - now_ms));
-        // Search again without a change as well: workers are avoided only for a limited time.
-        let _ = timeout(poll_interval, changed).await;
-    }
-}
-
-fn record_cold_wait(gateway: &Gateway, call: &Call) {
-    let waited_ms = gateway.now_ms() - call.arrived_ms;
-    let histogram = gateway.metrics.cold_wait_s.with_label_values(&[call.route.name.as_str()]);
-    histogram.observe(waited_ms as f64 / 1000.0);
-}
-
 /// Forwards a response to the caller; returns `None` if another worker should be tried.
 async fn forward_response(
     gateway: &Rc<Gateway>,
