Log the size and source of a configuration and how much of a read had arrived

An instance with an old configuration did not show whether the document was slow to arrive, from where it was fetched, or slow to put in force. config_in_force now tells source, bytes and parse_us; a call that times out tells how many bytes it had received.

--- a/lovageridge/src/gateway/connection.rs
+++ b/lovageridge/src/gateway/connection.rs
@@ -1,5 +1,6 @@
 //! Connections to upstreams, workers and the store.
 
+use std::cell::Cell;
 use std::error::Error as _;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -191,10 +192,19 @@
     ) -> Result<CallResponse, Error> {
         let request = build_request(self.addr, method, path, headers, body)?;
         let reused = self.sender.take();
-        let calling = exchange(self.addr, reused, request, self.response_max_bytes, call_timeout);
+        let received_bytes = Cell::new(0);
+        let limits = ResponseLimits {
+            body_max_bytes: self.response_max_bytes,
+            connect_timeout: call_timeout,
+            received_bytes: &received_bytes,
+        };
+        let calling = exchange(self.addr, reused, request, limits);
         let (response, sender) = match timeout(call_timeout, calling).await {
             Ok(result) => result?,
-            Err(_) => return Err(Error::NoAnswer("timed out".to_owned())),
+            Err(_) => {
+                let received_bytes = received_bytes.get();
+                return Err(Error::NoAnswer(format!("timed out after {received_bytes} bytes")));
+            }
         };
         self.sender = Some(sender);
         Ok(response)
@@ -218,16 +228,22 @@
     Ok(request)
 }
 
+/// Limits of a response, and how much of its body has been received.
+struct ResponseLimits<'a> {
+    body_max_bytes: usize,
+    connect_timeout: Duration,
+    received_bytes: &'a Cell<usize>,
+}
+
 async fn exchange(
     addr: SocketAddr,
     reused: Option<SendRequest<SendBody>>,
     mut request: Request<SendBody>,
-    response_max_bytes: usize,
-    call_timeout: Duration,
+    limits: ResponseLimits<'_>,
 ) -> Result<(CallResponse, SendRequest<SendBody>), Error> {
     let mut sender = match reused {
         Some(sender) if sender.is_ready() => sender,
-        _ => dial(addr, call_timeout).await?,
+        _ => dial(addr, limits.connect_timeout).await?,
     };
     let interim_exceeded = limit_interim_responses(&mut request);
     let no_answer = |error: hyper::Error| Error::NoAnswer(error.to_string());
@@ -238,7 +254,17 @@
         }
     };
     let status_code = response.status().as_u16();
-    let body = Limited::new(response.into_body(), response_max_bytes).collect().await;
-    let body = body.map_err(|error| Error::NoAnswer(error.to_string()))?.to_bytes();
+    let body = read_body(response.into_body(), &limits).await?;
     Ok((CallResponse { status_code, body }, sender))
 }
+
+async fn read_body(body: Incoming, limits: &ResponseLimits<'_>) -> Result<Bytes, Error> {
+    let body = Limited::new(body, limits.body_max_bytes);
+    let counted = body.map_frame(|frame| {
+        let len = frame.data_ref().map_or(0, Bytes::len);
+        limits.received_bytes.set(limits.received_bytes.get() + len);
+        frame
+    });
+    let collected = counted.collect().await;
+    Ok(collected.map_err(|error| Error::NoAnswer(error.to_string()))?.to_bytes())
+}
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use hyper::HeaderMap;
@@ -46,6 +47,10 @@
 /// Pause of the other instances after a failed read, in ms: a third of the time after which they count
 /// as connected to a recovered store. The first instance informs them of the recovery.
 const SLOW_RETRY_MS: u64 = 1000;
+/// Sources of a configuration, as logged.
+const SOURCE_STORE: &str = "store";
+const SOURCE_BATCH: &str = "batch";
+const SOURCE_SNAPSHOT: &str = "snapshot";
 
 /// Tails the operator's records until the process ends.
 pub async fn run_operator(gateway: Rc<Gateway>) {
@@ -148,7 +153,7 @@
         remove_missing_workers(gateway, &records);
     }
     for record in records {
-        apply(gateway, topic, record);
+        apply(gateway, topic, record, SOURCE_STORE);
     }
     gateway.store.borrow_mut().advance(topic, end_offset.unwrap_or(0));
     peers::driver::report_reads(gateway);
@@ -193,7 +198,7 @@
         return Ok(());
     }
     let next_offset = tail.records.last().map_or(offset, |(at, _)| at + 1);
-    apply_tail(gateway, topic, offset, &tail.records);
+    apply_tail(gateway, topic, offset, &tail.records, SOURCE_STORE);
     gateway.store.borrow_mut().advance(topic, next_offset);
     peers::driver::send_batch(
         gateway,
@@ -203,10 +208,16 @@
 }
 
 /// Applies the records of `topic` from `offset` on.
-fn apply_tail(gateway: &Gateway, topic: Topic, offset: u64, records: &[(u64, Vec<u8>)]) {
+fn apply_tail(
+    gateway: &Gateway,
+    topic: Topic,
+    offset: u64,
+    records: &[(u64, Vec<u8>)],
+    source: &str,
+) {
     for (record_offset, record) in records.iter().filter(|(at, _)| *at >= offset) {
         match store::parse_keyed(*record_offset, record) {
-            Ok(record) => apply(gateway, topic, record),
+            Ok(record) => apply(gateway, topic, record, source),
             Err(error) => log_skipped_record(gateway, topic, "", &error),
         }
     }
@@ -219,7 +230,7 @@
     let Some(own) = own.filter(|own| (batch.start_offset..batch.next_offset).contains(own)) else {
         return;
     };
-    apply_tail(gateway, batch.topic, own, &batch.records);
+    apply_tail(gateway, batch.topic, own, &batch.records, SOURCE_BATCH);
     gateway.store.borrow_mut().advance(batch.topic, batch.next_offset);
 }
 
@@ -280,17 +291,20 @@
     line.text("topic", topic.name()).text("key", key).text("reason", error).emit();
 }
 
-fn apply(gateway: &Gateway, topic: Topic, record: KeyedRecord) {
+fn apply(gateway: &Gateway, topic: Topic, record: KeyedRecord, source: &str) {
     match topic {
-        Topic::Operator if record.key == store::CONFIG_KEY => apply_config(gateway, &record.value),
+        Topic::Operator if record.key == store::CONFIG_KEY => {
+            apply_config(gateway, &record.value, source);
+        }
         Topic::Operator => {}
         Topic::Workers if record.value.is_empty() => remove_worker(gateway, &record.key),
         Topic::Workers => apply_worker(gateway, &record.key, &record.value),
     }
 }
 
-/// Puts a configuration in force, unless its version or a newer one already is.
-fn apply_config(gateway: &Gateway, bytes: &[u8]) {
+/// Puts a configuration from `source` in force, unless its version or a newer one already is.
+fn apply_config(gateway: &Gateway, bytes: &[u8], source: &str) {
+    let started = Instant::now();
     let catalog = match platform::config::parse(bytes) {
         Ok(catalog) => catalog,
         Err(error) => return log_skipped_record(gateway, Topic::Operator, "config", &error),
@@ -303,6 +317,9 @@
     line.number("version", catalog.version)
         .number("before", before.map_or(-1, i128::from))
         .number("routes", catalog.route_count() as u64)
+        .text("source", source)
+        .number("bytes", bytes.len() as u64)
+        .number("parse_us", started.elapsed().as_micros() as u64)
         .emit();
     gateway.metrics.config_version.set(catalog.version as i64);
     let mut store = gateway.store.borrow_mut();
@@ -380,7 +397,7 @@
 /// Applies the records of a snapshot that are newer than this instance's.
 pub fn apply_snapshot(gateway: &Gateway, snapshot: &Snapshot) {
     if !snapshot.config.is_empty() {
-        apply_config(gateway, &snapshot.config);
+        apply_config(gateway, &snapshot.config, SOURCE_SNAPSHOT);
     }
     let own_end = gateway.store.borrow().progress.workers_end;
     if snapshot.progress.workers_end > own_end {
