--- a/lovageridge/tests/gateway/store.rs
+++ b/lovageridge/tests/gateway/store.rs
@@ -9,7 +9,9 @@
 use standins::platform::deployment::Deployment;
 use standins::platform::deployment::Instance;
 use standins::platform::deployment::config;
+use standins::platform::deployment::default_routes;
 use standins::platform::deployment::plain_worker;
+use standins::platform::deployment::route;
 use standins::platform::deployment::wait_for;
 use standins::platform::store::Behavior;
 use test_case::test_case;
@@ -205,3 +207,38 @@
     assert!(per_s <= 2.0 * 2.0 + 3.0, "{per_s} calls a second");
     deployment.close();
 }
+
+/// Returns a configuration with `count` further routes.
+fn large_config(version: u64, count: usize) -> Vec<u8> {
+    let mut routes = default_routes();
+    routes.extend((0..count).map(|at| route(&format!("added/{at}"), "idempotent", "plain", false)));
+    config(version, &json!({"Routes": routes}))
+}
+
+/// Guards against a configuration that never comes into force because its transfer takes longer than a
+/// read may take, so that each read starts over.
+#[test]
+fn a_configuration_that_is_slow_to_transfer_comes_into_force() {
+    let deployment = small_deployment(1);
+    let document = large_config(2, 4000);
+    // The transfer takes four seconds.
+    deployment.store.set_read_rate(document.len() as u64 / 4);
+    deployment.store.put("keyed.op", "config", &document);
+    assert!(wait_for(|| version(&deployment, 0) == Some(2.0)), "version 2 is not in force");
+    deployment.close();
+}
+
+/// Guards against a large configuration that each instance reads from the store by itself, so that the
+/// rate of the store bounds how many instances have it in time.
+#[test]
+fn a_large_configuration_is_read_from_the_store_once() {
+    let deployment = small_deployment(6);
+    let document = large_config(2, 4000);
+    let before_bytes = deployment.store.read_bytes();
+    deployment.store.put("keyed.op", "config", &document);
+    let all_in_force = || (0..6).all(|at| version(&deployment, at) == Some(2.0));
+    assert!(wait_for(all_in_force), "version 2 is not in force everywhere");
+    let read_bytes = deployment.store.read_bytes() - before_bytes;
+    assert!(read_bytes < 2 * document.len() as u64, "{read_bytes} bytes were read");
+    deployment.close();
+}
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -2,6 +2,7 @@
 //! key of a keyed topic.
 
 use std::collections::VecDeque;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -24,6 +25,9 @@
 /// Time for which an unresponsive store keeps the connection of a call open.
 const UNRESPONSIVE_TIME: Duration = Duration::from_secs(20);
 
+/// Number of parts in which a response is sent at a limited rate.
+const PACED_PARTS: usize = 50;
+
 /// How the store responds to calls.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Behavior {
@@ -68,6 +72,8 @@
     topics: Vec<(String, Topic)>,
     behavior: Behavior,
     calls: u64,
+    read_bytes: u64,
+    bytes_per_s: Option<u64>,
 }
 
 struct Shared {
@@ -87,7 +93,13 @@
     /// # Errors
     /// Fails when it cannot listen on a free port.
     pub fn start() -> Result<Self, anyhow::Error> {
-        let state = State { topics: Vec::new(), behavior: Behavior::Normal, calls: 0 };
+        let state = State {
+            topics: Vec::new(),
+            behavior: Behavior::Normal,
+            calls: 0,
+            read_bytes: 0,
+            bytes_per_s: None,
+        };
         let shared = Arc::new(Shared { state: Mutex::new(state), changed: Condvar::new() });
         let handler_state = Arc::clone(&shared);
         let listener =
@@ -112,6 +124,16 @@
         self.shared.lock().calls
     }
 
+    /// Returns the number of bytes sent in response to reads so far.
+    pub fn read_bytes(&self) -> u64 {
+        self.shared.lock().read_bytes
+    }
+
+    /// Limits the rate at which each response to a read is sent, as a slow link does.
+    pub fn set_read_rate(&self, bytes_per_s: u64) {
+        self.shared.lock().bytes_per_s = Some(bytes_per_s);
+    }
+
     /// Writes a keyed record; an empty value deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![key.len() as u8];
@@ -182,7 +204,9 @@
                 write_json(stream, status_code, &text)
             }
             "/lovageridge/log-read" => self.read(stream, request, name),
-            "/lovageridge/log-newest" => write_json(stream, 200, &self.newest(name)),
+            "/lovageridge/log-newest" => {
+                self.send_read(stream, self.newest(name).to_string().as_bytes())
+            }
             _ => write_json(stream, 404, &json!({})),
         }
     }
@@ -236,7 +260,25 @@
             bytes.extend_from_slice(record);
         }
         drop(state);
-        write_response(stream, "200 OK", &bytes)
+        self.send_read(stream, &bytes)
+    }
+
+    /// Sends the response to a read, at the limited rate if there is one.
+    fn send_read(&self, stream: &mut TcpStream, body: &[u8]) -> bool {
+        let bytes_per_s = {
+            let mut state = self.lock();
+            state.read_bytes += body.len() as u64;
+            state.bytes_per_s
+        };
+        let Some(bytes_per_s) = bytes_per_s else { return write_response(stream, "200 OK", body) };
+        let part_bytes = (body.len() / PACED_PARTS).max(1);
+        let pause = Duration::from_secs_f64(part_bytes as f64 / bytes_per_s as f64);
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        stream.write_all(head.as_bytes()).is_ok()
+            && body.chunks(part_bytes).all(|part| {
+                thread::sleep(pause);
+                stream.write_all(part).is_ok()
+            })
     }
 
     fn newest(&self, name: &str) -> serde_json::Value {
