Bound reads of the store by their progress, not by their size

A document of 820 KB takes 0.66 s on an idle link of 10 Mbit/s, so it hardly ever arrived. A read now ends when nothing arrives for 0.8 s, or after 10 s; while parts arrive, the store counts as reachable and others keep relying on this reader. a_configuration_that_is_slow_to_transfer_comes_into_force was red before (not in force after 15 s) and is green.

--- a/lovageridge/src/gateway/connection.rs
+++ b/lovageridge/src/gateway/connection.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -16,6 +17,7 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -40,6 +42,10 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
+/// Longest time without any part of a response that is being transferred.
+const PROGRESS_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest time for the transfer of a response; the largest one takes it at about 6 Mbit/s.
+const TRANSFER_MAX: Duration = Duration::from_secs(10);
 /// Largest response body that a call to the store accepts, in bytes.
 const STORE_RESPONSE_MAX_BYTES: usize = 8 << 20;
 /// Largest response body that a call to a worker accepts, in bytes; many workers are called at the same
@@ -177,7 +183,8 @@
         self.sender = None;
     }
 
-    /// Makes a call and reads the complete response; a failed call closes the connection.
+    /// Makes a call and reads the complete response within `call_timeout`; a failed call closes the
+    /// connection.
     ///
     /// # Errors
     /// Returns `Error::Connect` if nothing was sent, `Error::NoAnswer` if the request may have
@@ -191,20 +198,50 @@
         call_timeout: Duration,
     ) -> Result<CallResponse, Error> {
         let request = build_request(self.addr, method, path, headers, body)?;
-        let reused = self.sender.take();
-        let received_bytes = Cell::new(0);
         let limits = ResponseLimits {
             body_max_bytes: self.response_max_bytes,
-            connect_timeout: call_timeout,
-            received_bytes: &received_bytes,
+            head: call_timeout,
+            progress: call_timeout,
+            total: call_timeout,
+            on_progress: &|| {},
         };
-        let calling = exchange(self.addr, reused, request, limits);
-        let (response, sender) = match timeout(call_timeout, calling).await {
+        self.exchange(request, limits).await
+    }
+
+    /// Reads `path`, however long the response takes while it keeps arriving: `head_timeout` bounds the
+    /// time to its head. `on_progress` is called whenever a part of a
+    /// successful response has arrived.
+    ///
+    /// # Errors
+    /// As for `call`.
+    pub async fn read(
+        &mut self,
+        path: &str,
+        head_timeout: Duration,
+        on_progress: impl Fn(),
+    ) -> Result<CallResponse, Error> {
+        let request = build_request(self.addr, Method::GET, path, HeaderMap::new(), Bytes::new())?;
+        let limits = ResponseLimits {
+            body_max_bytes: self.response_max_bytes,
+            head: head_timeout,
+            progress: PROGRESS_TIMEOUT,
+            total: head_timeout + TRANSFER_MAX,
+            on_progress: &on_progress,
+        };
+        self.exchange(request, limits).await
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request<SendBody>,
+        limits: ResponseLimits<'_>,
+    ) -> Result<CallResponse, Error> {
+        let reused = self.sender.take();
+        let received_bytes = Cell::new(0);
+        let calling = exchange(self.addr, reused, request, &limits, &received_bytes);
+        let (response, sender) = match timeout(limits.total, calling).await {
             Ok(result) => result?,
-            Err(_) => {
-                let received_bytes = received_bytes.get();
-                return Err(Error::NoAnswer(format!("timed out after {received_bytes} bytes")));
-            }
+            Err(_) => return Err(timed_out(received_bytes.get())),
         };
         self.sender = Some(sender);
         Ok(response)
@@ -228,22 +265,33 @@
     Ok(request)
 }
 
-/// Limits of a response, and how much of its body has been received.
+/// Limits of a response.
 struct ResponseLimits<'a> {
     body_max_bytes: usize,
-    connect_timeout: Duration,
-    received_bytes: &'a Cell<usize>,
+    // Time to connect, and time from the request to the head of the response.
+    head: Duration,
+    // Longest time without a part of the body.
+    progress: Duration,
+    // Longest time of the whole call.
+    total: Duration,
+    // Called whenever the head of a successful response or a part of its body has arrived.
+    on_progress: &'a dyn Fn(),
+}
+
+fn timed_out(received_bytes: usize) -> Error {
+    Error::NoAnswer(format!("timed out after {received_bytes} bytes"))
 }
 
 async fn exchange(
     addr: SocketAddr,
     reused: Option<SendRequest<SendBody>>,
     mut request: Request<SendBody>,
-    limits: ResponseLimits<'_>,
+    limits: &ResponseLimits<'_>,
+    received_bytes: &Cell<usize>,
 ) -> Result<(CallResponse, SendRequest<SendBody>), Error> {
     let mut sender = match reused {
         Some(sender) if sender.is_ready() => sender,
-        _ => dial(addr, limits.connect_timeout).await?,
+        _ => dial(addr, limits.head).await?,
     };
     let interim_exceeded = limit_interim_responses(&mut request);
     let no_answer = |error: hyper::Error| Error::NoAnswer(error.to_string());
@@ -252,19 +300,36 @@
         () = interim_exceeded => {
             return Err(Error::NoAnswer("too many interim responses".to_owned()));
         }
+        () = tokio::time::sleep(limits.head) => return Err(timed_out(0)),
     };
     let status_code = response.status().as_u16();
-    let body = read_body(response.into_body(), &limits).await?;
+    let limits = match response.status() {
+        StatusCode::OK => limits,
+        _ => &ResponseLimits { on_progress: &|| {}, ..*limits },
+    };
+    (limits.on_progress)();
+    let body = read_body(response.into_body(), limits, received_bytes).await?;
     Ok((CallResponse { status_code, body }, sender))
 }
 
-async fn read_body(body: Incoming, limits: &ResponseLimits<'_>) -> Result<Bytes, Error> {
-    let body = Limited::new(body, limits.body_max_bytes);
-    let counted = body.map_frame(|frame| {
-        let len = frame.data_ref().map_or(0, Bytes::len);
-        limits.received_bytes.set(limits.received_bytes.get() + len);
-        frame
-    });
-    let collected = counted.collect().await;
-    Ok(collected.map_err(|error| Error::NoAnswer(error.to_string()))?.to_bytes())
+async fn read_body(
+    body: Incoming,
+    limits: &ResponseLimits<'_>,
+    received_bytes: &Cell<usize>,
+) -> Result<Bytes, Error> {
+    let expected_bytes = body.size_hint().exact().unwrap_or(0).min(limits.body_max_bytes as u64);
+    let mut body = Limited::new(body, limits.body_max_bytes);
+    let mut bytes = BytesMut::with_capacity(expected_bytes as usize);
+    loop {
+        let Ok(frame) = timeout(limits.progress, body.frame()).await else {
+            return Err(timed_out(bytes.len()));
+        };
+        let Some(frame) = frame else { return Ok(bytes.freeze()) };
+        let frame = frame.map_err(|error| Error::NoAnswer(error.to_string()))?;
+        if let Some(data) = frame.data_ref() {
+            bytes.extend_from_slice(data);
+            received_bytes.set(bytes.len());
+            (limits.on_progress)();
+        }
+    }
 }
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -8,8 +8,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use hyper::HeaderMap;
-use hyper::Method;
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
@@ -32,8 +30,8 @@
 #[cfg(test)]
 mod tests;
 
-/// Timeout of a read, on top of the time that the read itself waits for a record; a slow store takes
-/// a quarter of a second.
+/// Time within which the response to a read has to begin, on top of the time that the read itself waits
+/// for a record; a slow store takes a quarter of a second.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Time from the first read after the store has recovered to the next one, in ms: half of the time
 /// within which a configuration must be in force, so that all instances together do not overload the
@@ -134,7 +132,7 @@
     let mut end_offset = None;
     loop {
         let path = store::newest_path(topic.name(), after.as_deref());
-        let page = match call_store(gateway, client, "newest", &path, CALL_TIMEOUT).await? {
+        let page = match call_store(gateway, client, topic, "newest", &path, CALL_TIMEOUT).await? {
             (200, body) => store::parse_newest(&body).map_err(|error| error.to_string())?,
             (404, _) => break,
             (status, _) => return Err(format!("status {status}")),
@@ -183,7 +181,7 @@
 ) -> Result<(), String> {
     let path = store::read_path(topic.name(), offset, wait_ms);
     let limit = Duration::from_millis(wait_ms) + CALL_TIMEOUT;
-    let body = match call_store(gateway, client, "read", &path, limit).await? {
+    let body = match call_store(gateway, client, topic, "read", &path, limit).await? {
         (200, body) => body,
         (410 | 404, _) => {
             gateway.store.borrow_mut().on_expired(topic);
@@ -254,11 +252,14 @@
 async fn call_store(
     gateway: &Gateway,
     client: &mut HttpClient,
+    topic: Topic,
     call: &'static str,
     path: &str,
     limit: Duration,
 ) -> Result<(u16, Bytes), String> {
-    let response = client.call(Method::GET, path, HeaderMap::new(), Bytes::new(), limit).await;
+    // While a response arrives the store is reachable, however long it takes.
+    let on_progress = || gateway.store.borrow_mut().on_progress(topic, gateway.now_ms());
+    let response = client.read(path, limit, on_progress).await;
     let result = match &response {
         Ok(response) if response.status_code == 200 => "ok",
         Ok(_) => "refused",
--- a/lovageridge/src/gateway/sync/view.rs
+++ b/lovageridge/src/gateway/sync/view.rs
@@ -212,6 +212,15 @@
         self.record_answer(now_ms, now_ms)
     }
 
+    /// Records that a part of the response to a read of `topic` has arrived. Others keep relying on the
+    /// reads of this instance meanwhile.
+    pub fn on_progress(&mut self, topic: Topic, now_ms: u64) {
+        let state = self.state_mut(topic);
+        if state.last_read_ms.is_some() {
+            state.last_read_ms = Some(now_ms);
+        }
+    }
+
     /// Records that another instance of the domain read the store at `read_ms`; returns whether this
     /// ends an outage of the store.
     pub fn on_peer_read(&mut self, read_ms: u64, now_ms: u64) -> bool {
