Pass configurations on between instances in compressed form

Callers got answers by an old configuration, since each of 90 instances read every large document from the store by itself: anything over 48 KB did not fit the datagram in which the reader of a domain passes records on, and the fallback was the store. 90 times 820 KB fill its 80 MB a second for a second, and the links of small instances as well. The reader now sends the change from the document before (zstd with that one as prefix: about 130 bytes for a route, 23 KB for 1,400). Whoever misses it fetches it over TCP from any instance that has it, checked by digest; four transfers at a time, so that those that have got it serve others; from another failure domain after 0.5 s; from the store at last. A large document is parsed in a thread of its own (46 to 69 ms on a small instance before, between two requests).

--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -84,6 +84,10 @@
     pub store: RefCell<StoreView>,
     /// Notified when another instance of the domain has read further in the store.
     pub reader_advanced: Notify,
+    /// Notified when another instance has a newer configuration.
+    pub config_heard: Notify,
+    /// Number of transfers to peers in progress.
+    pub uploads: Cell<u32>,
     /// Known workers, with their load and health.
     pub directory: RefCell<Directory>,
     /// Idle connections to upstreams.
@@ -148,6 +152,8 @@
             catalog: RefCell::default(),
             store: RefCell::default(),
             reader_advanced: Notify::new(),
+            config_heard: Notify::new(),
+            uploads: Cell::new(0),
             directory: RefCell::default(),
             pool: RefCell::default(),
             state_changed: Notify::new(),
--- a/lovageridge/src/gateway/metrics.rs
+++ b/lovageridge/src/gateway/metrics.rs
@@ -55,6 +55,10 @@
     pub in_progress: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Newest version of the configuration that another instance has.
+    pub config_version_heard: IntGauge,
+    /// Transfers of records to peers, by result.
+    pub transfers_total: IntCounterVec,
     /// Number of known workers.
     pub workers: IntGauge,
     /// 1 while the instance is the lead.
@@ -166,6 +170,15 @@
             )?,
             in_progress: gauge("gateway_requests_in_progress", "Requests in progress")?,
             config_version: gauge("gateway_config_version", "Version in force")?,
+            config_version_heard: gauge(
+                "gateway_config_version_heard",
+                "Newest version that another instance has",
+            )?,
+            transfers_total: counters(
+                "gateway_transfers_total",
+                "Transfers of records to peers",
+                &["result"],
+            )?,
             workers: gauge("gateway_workers", "Workers known")?,
             reads_store: gauge(
                 "gateway_reads_store",
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -1,7 +1,7 @@
 //! Messages between gateway instances, and each instance's view of its peers.
 //!
-//! Heartbeats, demand, residency and new records of the store are sent as datagrams. An instance
-//! that cannot reach the store fetches a snapshot of all records from a peer over TCP.
+//! Heartbeats, demand, residency and new records of the store are sent as datagrams. What does not fit
+//! into one or was lost is fetched from a peer over TCP (see [`crate::gateway::sync::transfer`]).
 
 use std::net::SocketAddr;
 
@@ -12,6 +12,7 @@
 use crate::gateway::directory::WorkerView;
 use crate::gateway::limits::Grant;
 use crate::gateway::limits::LimitReport;
+use crate::gateway::sync::delta::Delta;
 use crate::gateway::sync::view::StoreView;
 use crate::gateway::sync::view::Topic;
 use crate::hashing;
@@ -224,6 +225,15 @@
     pub records: Vec<(u64, Vec<u8>)>,
 }
 
+/// A configuration that the sender has read from the store.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ConfigUpdate {
+    /// Offset after the last operator record read.
+    pub next_offset: u64,
+    /// The configuration, relative to the one before it.
+    pub change: Delta,
+}
+
 /// Payload of a [`Message`].
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Payload {
@@ -238,6 +248,8 @@
     Residency(Residency),
     /// New records of the store.
     Batch(RecordBatch),
+    /// New configuration of the operator.
+    Config(ConfigUpdate),
     /// Observations of crashes.
     CrashEvidence(Vec<PartReport>),
     /// Digest of all observations of crashes that the sender knows.
@@ -295,15 +307,15 @@
     pub payload: Payload,
 }
 
-/// All records of the store, for an instance that cannot reach it.
+/// What an instance has read from the store, for one that lacks some of it.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Snapshot {
-    /// Configuration as stored; empty if there is none.
-    pub config: Vec<u8>,
+    /// Configuration; `None` if there is none or the receiver has it.
+    pub config: Option<Delta>,
     /// How far the sender has read the store.
     pub progress: Progress,
-    /// Worker records as stored, by worker id.
-    pub workers: Vec<(String, Vec<u8>)>,
+    /// Worker records as stored, by worker id; `None` if they were not asked for.
+    pub workers: Option<Vec<(String, Vec<u8>)>>,
 }
 
 /// What is known about another instance.
--- a/lovageridge/src/gateway/peers/driver.rs
+++ b/lovageridge/src/gateway/peers/driver.rs
@@ -1,4 +1,4 @@
-//! I/O driver for messages between instances: heartbeats, demand reports and snapshots.
+//! I/O driver for messages between instances: heartbeats, records and demand reports.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -10,10 +10,6 @@
 use rand::seq::IteratorRandom;
 use serde::Deserialize;
 use serde::Serialize;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
@@ -28,6 +24,7 @@
 use crate::gateway::limits::driver::SendRequest;
 use crate::gateway::limits::exchange::Requester;
 use crate::gateway::peers;
+use crate::gateway::peers::ConfigUpdate;
 use crate::gateway::peers::Demand;
 use crate::gateway::peers::LeadInfo;
 use crate::gateway::peers::Message;
@@ -35,9 +32,8 @@
 use crate::gateway::peers::RecordBatch;
 use crate::gateway::peers::Residency;
 use crate::gateway::peers::RunningRequests;
-use crate::gateway::peers::Snapshot;
-use crate::gateway::serve::ACCEPT_RETRY_DELAY;
 use crate::gateway::sync;
+use crate::gateway::sync::document::StoredConfig;
 use crate::gateway::waits::Target;
 use crate::platform::store;
 use crate::telemetry::events;
@@ -51,10 +47,6 @@
 const NO_PEERS_READ_MS: u64 = 3000;
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Timeout of a snapshot transfer, for either side.
-const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(800);
-/// Largest snapshot, in bytes.
-const SNAPSHOT_MAX_BYTES: u64 = 16 << 20;
 /// Delay of a demand report that was triggered early, in ms, so that requests that begin to wait
 /// together share one report.
 const DEMAND_BATCH_DELAY_MS: u64 = 1;
@@ -143,6 +135,10 @@
     let now_ms = gateway.now_ms();
     gateway.peers.borrow_mut().on_message(&message, from, now_ms);
     limits::driver::on_message_from(gateway, &message.sender);
+    if gateway.store.borrow_mut().heard.on_heard(message.progress.config_version, now_ms) {
+        gateway.metrics.config_version_heard.set(message.progress.config_version as i64);
+        gateway.config_heard.notify_one();
+    }
     if let Some(lead) = message.lead {
         step_down_for(gateway, lead.fence);
         announce_to_lead(gateway, &lead);
@@ -165,6 +161,12 @@
             on_residency(gateway, &message.sender, message.incarnation, residency, from);
         }
         Payload::Batch(batch) => sync::apply_batch(gateway, &batch),
+        Payload::Config(update) => {
+            let gateway = Rc::clone(gateway);
+            tokio::task::spawn_local(async move {
+                sync::apply_config_update(&gateway, update).await;
+            });
+        }
         Payload::Limit(report) => limits::driver::on_report(gateway, &report),
         Payload::Limits(reports) => {
             reports.iter().for_each(|report| limits::driver::on_report(gateway, report));
@@ -273,7 +275,6 @@
             });
         }
         send_heartbeats(&gateway);
-        sync_from_peer(&gateway).await;
         sync::drop_expired_workers(&gateway);
         gateway.pool.borrow_mut().expire(now_ms);
         tokio::time::sleep(Duration::from_millis(HEARTBEAT_MS)).await;
@@ -391,6 +392,28 @@
     }
 }
 
+/// Sends the configuration in force to the other instances of the domain; `next_offset` is the offset after
+/// the last operator record read. Does nothing while this instance itself relies on another one's reads.
+pub fn send_config(gateway: &Gateway, next_offset: u64) {
+    let store = gateway.store.borrow();
+    if store.reader.is_some() {
+        return;
+    }
+    let change = store.config.as_ref().map(StoredConfig::change);
+    let change = match change {
+        Some(Ok(change)) if change.len() <= BATCH_MAX_BYTES => Some(change.clone()),
+        _ => None,
+    };
+    drop(store);
+    match change {
+        Some(change) => {
+            send_to_domain(gateway, Payload::Config(ConfigUpdate { next_offset, change }));
+        }
+        // Instances that are behind then fetch it.
+        None => report_reads(gateway),
+    }
+}
+
 /// Sends a message with `payload` to all peers.
 pub fn send_to_all(gateway: &Gateway, payload: Payload) {
     let now_ms = gateway.now_ms();
@@ -412,69 +435,6 @@
     }
 }
 
-/// Fetches a snapshot from a peer that is ahead, while the store cannot be reached or no
-/// configuration is known.
-async fn sync_from_peer(gateway: &Gateway) {
-    let now_ms = gateway.now_ms();
-    let needs_snapshot = gateway.catalog().is_none() || gateway.store.borrow().is_unreachable();
-    if !needs_snapshot {
-        return;
-    }
-    let own = gateway.store.borrow().progress;
-    let ahead = gateway.peers.borrow().ahead_of(own, now_ms).map(|(n, p)| (n.clone(), p.addr));
-    let Some((name, addr)) = ahead else { return };
-    let fetched = match timeout(SNAPSHOT_TIMEOUT, fetch_snapshot(addr)).await {
-        Ok(fetched) => fetched,
-        Err(_) => Err("timed out".to_owned()),
-    };
-    let snapshot = match fetched {
-        Ok(snapshot) => snapshot,
-        Err(reason) => {
-            let line = gateway.log.line(events::SNAPSHOT_FAILED, Severity::Routine);
-            return line.text("peer", name).text("reason", reason).emit();
-        }
-    };
-    let line = gateway.log.line(events::RECORDS_FROM_PEER, Severity::Notable);
-    line.text("peer", name)
-        .number("config_version", snapshot.progress.config_version)
-        .number("workers_end", snapshot.progress.workers_end)
-        .emit();
-    sync::apply_snapshot(gateway, &snapshot);
-}
-
-async fn fetch_snapshot(addr: SocketAddr) -> Result<Snapshot, String> {
-    let stream = TcpStream::connect(addr).await.map_err(|error| error.to_string())?;
-    let mut bytes = Vec::new();
-    let reading = stream.take(SNAPSHOT_MAX_BYTES).read_to_end(&mut bytes).await;
-    reading.map_err(|error| error.to_string())?;
-    postcard::from_bytes(&bytes).map_err(|error| error.to_string())
-}
-
-/// Sends a snapshot to every peer that connects, until the process ends.
-pub async fn serve_snapshots(gateway: Rc<Gateway>, listener: TcpListener) {
-    loop {
-        let mut stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                let line = gateway.log.line(events::ACCEPT_FAILED, Severity::Notable);
-                line.text("port", "peers").text("detail", error).emit();
-                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        let snapshot = sync::snapshot(&gateway);
-        let Some(bytes) = codec::encode(&gateway, "snapshot", &snapshot) else { continue };
-        tokio::task::spawn_local(async move {
-            // Errors are ignored: a peer that did not get the snapshot connects again.
-            let sending = async {
-                stream.write_all(&bytes).await?;
-                stream.shutdown().await
-            };
-            let _ = timeout(SNAPSHOT_TIMEOUT, sending).await;
-        });
-    }
-}
-
 /// Reports demand to the lead periodically, and early when requests begin to wait.
 pub async fn run_demand(gateway: Rc<Gateway>) {
     loop {
--- a/lovageridge/src/gateway/run.rs
+++ b/lovageridge/src/gateway/run.rs
@@ -79,7 +79,7 @@
     let socket = UdpSocket::bind(peers_addr)
         .await
         .map_err(|source| Error::Listen { addr: peers_addr, source })?;
-    let snapshots = listen(peers_addr).await?;
+    let transfers = listen(peers_addr).await?;
     let callers = listen(settings.callers_addr).await?;
     let ready = listen(settings.ready_addr).await?;
     let metrics = listen(settings.metrics_addr).await?;
@@ -101,7 +101,8 @@
     tokio::task::spawn_local(sync::run_workers(share(&gateway)));
     tokio::task::spawn_local(peers::driver::run_receiver(share(&gateway)));
     tokio::task::spawn_local(peers::driver::run_heartbeats(share(&gateway)));
-    tokio::task::spawn_local(peers::driver::serve_snapshots(share(&gateway), snapshots));
+    tokio::task::spawn_local(sync::transfer::run(share(&gateway)));
+    tokio::task::spawn_local(sync::transfer::serve(share(&gateway), transfers));
     tokio::task::spawn_local(peers::driver::run_demand(share(&gateway)));
     tokio::task::spawn_local(crashes::persist::run(share(&gateway)));
     tokio::task::spawn_local(lead::driver::run(share(&gateway)));
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -1,7 +1,8 @@
 //! Tails the platform's store: the operator's configuration and the workers' records.
 //!
 //! One instance of a failure domain reads them for all (see `view`). An instance that can neither
-//! reach the store nor receive from such a reader fetches a snapshot from a peer that is ahead.
+//! reach the store nor receive from such a reader fetches the records from a peer that is ahead (see
+//! `transfer`). The configuration travels between instances in compressed form.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,13 +12,18 @@
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
+use crate::gateway::catalog::Catalog;
 use crate::gateway::connection::HttpClient;
 use crate::gateway::directory::Change;
 use crate::gateway::eventlog::Severity;
 use crate::gateway::peers;
+use crate::gateway::peers::ConfigUpdate;
 use crate::gateway::peers::Peer;
 use crate::gateway::peers::RecordBatch;
 use crate::gateway::peers::Snapshot;
+use crate::gateway::sync::delta::Delta;
+use crate::gateway::sync::delta::DocumentId;
+use crate::gateway::sync::document::StoredConfig;
 use crate::gateway::sync::view::ReadStep;
 use crate::gateway::sync::view::Topic;
 use crate::platform;
@@ -25,6 +31,10 @@
 use crate::platform::store::KeyedRecord;
 use crate::telemetry::events;
 
+pub mod delta;
+pub mod document;
+pub mod heard;
+pub mod transfer;
 pub mod view;
 
 #[cfg(test)]
@@ -49,6 +59,8 @@
 const SOURCE_STORE: &str = "store";
 const SOURCE_BATCH: &str = "batch";
 const SOURCE_SNAPSHOT: &str = "snapshot";
+/// Largest configuration that is parsed between requests, in bytes; this takes a few ms.
+const INLINE_PARSE_MAX_BYTES: usize = 64 << 10;
 
 /// Tails the operator's records until the process ends.
 pub async fn run_operator(gateway: Rc<Gateway>) {
@@ -151,7 +163,7 @@
         remove_missing_workers(gateway, &records);
     }
     for record in records {
-        apply(gateway, topic, record, SOURCE_STORE);
+        apply(gateway, topic, record, SOURCE_STORE).await;
     }
     gateway.store.borrow_mut().advance(topic, end_offset.unwrap_or(0));
     peers::driver::report_reads(gateway);
@@ -196,42 +208,76 @@
         return Ok(());
     }
     let next_offset = tail.records.last().map_or(offset, |(at, _)| at + 1);
-    apply_tail(gateway, topic, offset, &tail.records, SOURCE_STORE);
+    let before = gateway.store.borrow().progress.config_version;
+    for record in newest_of_keys(gateway, topic, &tail.records) {
+        apply(gateway, topic, record, SOURCE_STORE).await;
+    }
     gateway.store.borrow_mut().advance(topic, next_offset);
-    peers::driver::send_batch(
-        gateway,
-        RecordBatch { topic, start_offset: offset, next_offset, records: tail.records },
-    );
+    if topic == Topic::Operator && tail.end_offset > next_offset {
+        // More has been written than one read returns; only the newest of it matters.
+        gateway.store.borrow_mut().on_expired(topic);
+    }
+    let has_new_config = gateway.store.borrow().progress.config_version > before;
+    match topic {
+        Topic::Operator if has_new_config => peers::driver::send_config(gateway, next_offset),
+        Topic::Operator => peers::driver::report_reads(gateway),
+        Topic::Workers => peers::driver::send_batch(
+            gateway,
+            RecordBatch { topic, start_offset: offset, next_offset, records: tail.records },
+        ),
+    }
     Ok(())
 }
 
-/// Applies the records of `topic` from `offset` on.
-fn apply_tail(
-    gateway: &Gateway,
-    topic: Topic,
-    offset: u64,
-    records: &[(u64, Vec<u8>)],
-    source: &str,
-) {
-    for (record_offset, record) in records.iter().filter(|(at, _)| *at >= offset) {
-        match store::parse_keyed(*record_offset, record) {
-            Ok(record) => apply(gateway, topic, record, source),
+/// Returns the newest record of each key, in the order of the log. Earlier ones need not be applied.
+fn newest_of_keys(gateway: &Gateway, topic: Topic, records: &[(u64, Vec<u8>)]) -> Vec<KeyedRecord> {
+    let mut newest: Vec<KeyedRecord> = Vec::new();
+    for (offset, record) in records {
+        match store::parse_keyed(*offset, record) {
+            Ok(record) => {
+                newest.retain(|earlier| earlier.key != record.key);
+                newest.push(record);
+            }
             Err(error) => log_skipped_record(gateway, topic, "", &error),
         }
     }
+    newest
 }
 
-/// Applies the records that another instance of the domain has read, unless earlier ones are missing
-/// here.
+/// Applies the workers' records that another instance of the domain has read, unless earlier ones are
+/// missing here.
 pub fn apply_batch(gateway: &Gateway, batch: &RecordBatch) {
     let own = gateway.store.borrow().next_offset(batch.topic);
     let Some(own) = own.filter(|own| (batch.start_offset..batch.next_offset).contains(own)) else {
         return;
     };
-    apply_tail(gateway, batch.topic, own, &batch.records, SOURCE_BATCH);
+    let own_at = batch.records.partition_point(|(at, _)| *at < own);
+    for record in newest_of_keys(gateway, batch.topic, &batch.records[own_at..]) {
+        apply_worker_record(gateway, &record);
+    }
     gateway.store.borrow_mut().advance(batch.topic, batch.next_offset);
 }
 
+/// Applies the configuration that another instance of the domain has read, if this one has the document
+/// that it is relative to.
+pub async fn apply_config_update(gateway: &Gateway, update: ConfigUpdate) {
+    if !gateway.store.borrow().heard.is_newer() {
+        return;
+    }
+    // Otherwise the configuration is fetched.
+    if let Ok(document) = restore(gateway, &update.change) {
+        gateway.store.borrow_mut().advance(Topic::Operator, update.next_offset);
+        apply_config(gateway, document, SOURCE_BATCH).await;
+    }
+}
+
+fn restore(gateway: &Gateway, change: &Delta) -> Result<Bytes, delta::Error> {
+    let store = gateway.store.borrow();
+    let known = store.config.as_ref().map(|config| config.document.clone()).unwrap_or_default();
+    drop(store);
+    change.restore(&known).map(Bytes::from)
+}
+
 /// Updates the state of the store from the last message of the instance whose reads this one relies
 /// on, and wakes the tails if that instance is ahead.
 pub fn on_peer_message(gateway: &Gateway, now_ms: u64) {
@@ -292,21 +338,27 @@
     line.text("topic", topic.name()).text("key", key).text("reason", error).emit();
 }
 
-fn apply(gateway: &Gateway, topic: Topic, record: KeyedRecord, source: &str) {
+async fn apply(gateway: &Gateway, topic: Topic, record: KeyedRecord, source: &str) {
     match topic {
         Topic::Operator if record.key == store::CONFIG_KEY => {
-            apply_config(gateway, &record.value, source);
+            apply_config(gateway, Bytes::from(record.value), source).await;
         }
         Topic::Operator => {}
-        Topic::Workers if record.value.is_empty() => remove_worker(gateway, &record.key),
-        Topic::Workers => apply_worker(gateway, &record.key, &record.value),
+        Topic::Workers => apply_worker_record(gateway, &record),
+    }
+}
+
+fn apply_worker_record(gateway: &Gateway, record: &KeyedRecord) {
+    match record.value.as_slice() {
+        [] => remove_worker(gateway, &record.key),
+        value => apply_worker(gateway, &record.key, value),
     }
 }
 
 /// Puts a configuration from `source` in force, unless its version or a newer one already is.
-fn apply_config(gateway: &Gateway, bytes: &[u8], source: &str) {
+async fn apply_config(gateway: &Gateway, document: Bytes, source: &str) {
     let started = Instant::now();
-    let catalog = match platform::config::parse(bytes) {
+    let catalog = match parse_config(&document).await {
         Ok(catalog) => catalog,
         Err(error) => return log_skipped_record(gateway, Topic::Operator, "config", &error),
     };
@@ -319,18 +371,32 @@
         .number("before", before.map_or(-1, i128::from))
         .number("routes", catalog.route_count() as u64)
         .text("source", source)
-        .number("bytes", bytes.len() as u64)
+        .number("bytes", document.len() as u64)
         .number("parse_us", started.elapsed().as_micros() as u64)
         .emit();
     gateway.metrics.config_version.set(catalog.version as i64);
     let mut store = gateway.store.borrow_mut();
-    store.config = bytes.to_vec();
+    store.config = Some(StoredConfig::new(document, store.config.as_ref()));
     store.progress.config_version = catalog.version;
+    store.heard.on_in_force(catalog.version);
     drop(store);
     *gateway.catalog.borrow_mut() = Some(Rc::new(catalog));
     gateway.state_changed.notify_waiters();
 }
 
+/// Parses a configuration, a large one in a thread of its own, so that it does not delay requests.
+async fn parse_config(document: &Bytes) -> Result<Catalog, platform::Error> {
+    if document.len() <= INLINE_PARSE_MAX_BYTES {
+        return platform::config::parse(document);
+    }
+    let in_thread = document.clone();
+    let parsing = tokio::task::spawn_blocking(move || platform::config::parse(&in_thread));
+    match parsing.await {
+        Ok(parsed) => parsed,
+        Err(_) => platform::config::parse(document),
+    }
+}
+
 fn apply_worker(gateway: &Gateway, id: &str, bytes: &[u8]) {
     let record = match platform::workers::parse(id, bytes) {
         Ok(record) => record,
@@ -388,33 +454,59 @@
     }
 }
 
-/// Returns all records read so far, for a peer.
-pub fn snapshot(gateway: &Gateway) -> Snapshot {
+/// Returns what this instance has read, for a peer that has the configuration with `known_config`.
+pub fn snapshot(
+    gateway: &Gateway,
+    known_config: Option<DocumentId>,
+    with_workers: bool,
+) -> Snapshot {
     let store = gateway.store.borrow();
+    let config = store.config.as_ref().filter(|config| known_config != Some(config.id));
+    let config = config.and_then(|config| match config.since(known_config) {
+        Ok(delta) => Some(delta.clone()),
+        Err(error) => {
+            let line = gateway.log.line(events::ENCODE_FAILED, Severity::Notable);
+            line.text("what", "configuration").text("reason", error).emit();
+            None
+        }
+    });
     let workers = store.workers.iter().map(|(id, bytes)| (id.clone(), bytes.clone()));
-    Snapshot { config: store.config.clone(), progress: store.progress, workers: workers.collect() }
+    let workers = with_workers.then(|| workers.collect());
+    Snapshot { config, progress: store.progress, workers }
 }
 
-/// Applies the records of a snapshot that are newer than this instance's.
-pub fn apply_snapshot(gateway: &Gateway, snapshot: &Snapshot) {
-    if !snapshot.config.is_empty() {
-        apply_config(gateway, &snapshot.config, SOURCE_SNAPSHOT);
+/// Applies what is newer in a snapshot than here.
+pub async fn apply_snapshot(gateway: &Gateway, snapshot: Snapshot) {
+    if let Some(change) = &snapshot.config {
+        match restore(gateway, change) {
+            Ok(document) => apply_config(gateway, document, SOURCE_SNAPSHOT).await,
+            Err(error) => return log_skipped_document(gateway, &error),
+        }
+    }
+    gateway.store.borrow_mut().advance_if_newer(Topic::Operator, snapshot.progress.operator_end);
+    if let Some(workers) = &snapshot.workers {
+        apply_worker_snapshot(gateway, workers, snapshot.progress.workers_end);
     }
+}
+
+fn log_skipped_document(gateway: &Gateway, error: &delta::Error) {
+    let line = gateway.log.line(events::RECORD_SKIPPED, Severity::Routine);
+    line.text("topic", Topic::Operator.name()).text("key", "config").text("reason", error).emit();
+}
+
+fn apply_worker_snapshot(gateway: &Gateway, workers: &[(String, Vec<u8>)], workers_end: u64) {
     let own_end = gateway.store.borrow().progress.workers_end;
-    if snapshot.progress.workers_end > own_end {
+    if workers_end > own_end {
         let known: Vec<String> =
             gateway.directory.borrow().iter().map(|worker| worker.record.id.clone()).collect();
         for id in known {
-            if snapshot.workers.iter().all(|(key, _)| *key != id) {
+            if workers.iter().all(|(key, _)| *key != id) {
                 remove_worker(gateway, &id);
             }
         }
-        for (id, bytes) in &snapshot.workers {
+        for (id, bytes) in workers {
             apply_worker(gateway, id, bytes);
         }
     }
-    let mut store = gateway.store.borrow_mut();
-    for topic in [Topic::Operator, Topic::Workers] {
-        store.progress.advance(topic, snapshot.progress.end(topic));
-    }
+    gateway.store.borrow_mut().progress.advance(Topic::Workers, workers_end);
 }
--- a/lovageridge/src/gateway/sync/view.rs
+++ b/lovageridge/src/gateway/sync/view.rs
@@ -11,6 +11,8 @@
 use crate::gateway::peers::Peer;
 use crate::gateway::peers::Progress;
 use crate::gateway::peers::READS_FRESH_MS;
+use crate::gateway::sync::document::StoredConfig;
+use crate::gateway::sync::heard::HeardConfig;
 use crate::platform::store;
 use crate::sorted::Table;
 
@@ -27,6 +29,9 @@
 /// Time to wait for a batch after its sender was seen to be ahead, in ms; many times the latency of a
 /// datagram within a failure domain.
 const BATCH_WAIT_MS: u64 = 60;
+/// Time after which a configuration is read from the store that neither a datagram nor a transfer from
+/// another instance has brought, in ms.
+const TRANSFER_WAIT_MS: u64 = 600;
 /// Time after a failed read for which an instance relies on any other reader of its domain, in ms;
 /// equal to the time for which reads count as fresh.
 const OWN_FAILURE_RECENT_MS: u64 = 1500;
@@ -102,13 +107,17 @@
 pub struct StoreView {
     /// How far the store has been read.
     pub progress: Progress,
-    /// The configuration as stored; empty before the first one.
-    pub config: Vec<u8>,
+    /// The configuration in force as stored; `None` before the first one.
+    pub config: Option<StoredConfig>,
+    /// The newest configuration that other instances have.
+    pub heard: HeardConfig,
     /// Worker records as stored, by worker id.
     pub workers: Table<String, Vec<u8>>,
     /// Instance whose reads this one relies on; `None` when it reads the store itself.
     pub reader: Option<String>,
     reader_notified_ms: Option<u64>,
+    // Time at which a part of a transfer from another instance last arrived.
+    transferring_ms: u64,
     operator_state: TopicState,
     workers_state: TopicState,
     failing_since_ms: Option<u64>,
@@ -158,10 +167,16 @@
             state.behind_since_ms = None;
             return ReadStep::Follow { until_ms: fresh_until_ms };
         }
-        let batch_until_ms = *state.behind_since_ms.get_or_insert(now_ms) + BATCH_WAIT_MS;
-        if now_ms < batch_until_ms {
-            return ReadStep::Follow { until_ms: batch_until_ms };
+        let behind_since_ms = *state.behind_since_ms.get_or_insert(now_ms);
+        let wait_until_ms = match topic {
+            Topic::Workers => behind_since_ms + BATCH_WAIT_MS,
+            // The configuration is fetched from another instance meanwhile.
+            Topic::Operator => behind_since_ms.max(self.transferring_ms) + TRANSFER_WAIT_MS,
+        };
+        if now_ms < wait_until_ms {
+            return ReadStep::Follow { until_ms: wait_until_ms };
         }
+        let state = self.state_mut(topic);
         // The batch must have been lost.
         state.behind_since_ms = None;
         ReadStep::ReadFrom { offset, wait_ms: 0 }
@@ -192,6 +207,18 @@
         self.state(topic).next_offset
     }
 
+    /// Raises the offset of the next record to read of `topic`, unless the newest records must be read.
+    pub fn advance_if_newer(&mut self, topic: Topic, offset: u64) {
+        self.progress.advance(topic, offset);
+        let state = self.state_mut(topic);
+        state.next_offset = state.next_offset.map(|own| own.max(offset));
+    }
+
+    /// Records that a part of a transfer from another instance has arrived.
+    pub fn on_transfer_progress(&mut self, now_ms: u64) {
+        self.transferring_ms = now_ms;
+    }
+
     /// Records that `topic` has been read up to `offset`, by this instance or another one.
     pub fn advance(&mut self, topic: Topic, offset: u64) {
         self.state_mut(topic).next_offset = Some(offset);
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -144,4 +144,6 @@
     LIMIT_STATED = 734 "limit_stated";
     /// The instance that grants sends to a limited worker did not answer.
     GRANTING_SILENT = 735 "granting_silent";
+    /// Another instance has had a newer configuration for some time.
+    CONFIG_BEHIND = 736 "config_behind";
 }
