--- a/lovageridge/tests/gateway.rs
+++ b/lovageridge/tests/gateway.rs
@@ -14,6 +14,8 @@
 mod limits;
 #[path = "gateway/requests.rs"]
 mod requests;
+#[path = "gateway/restores.rs"]
+mod restores;
 #[path = "gateway/settings.rs"]
 mod settings;
 #[path = "gateway/store.rs"]
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -20,7 +20,6 @@
 
 use crate::platform::wire::Listener;
 use crate::platform::wire::Request;
-use crate::platform::wire::write_response;
 
 /// Time for which an unresponsive store keeps the connection of a call open.
 const UNRESPONSIVE_TIME: Duration = Duration::from_secs(20);
@@ -41,7 +40,7 @@
     LoseWriteResponses,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Topic {
     first_offset: u64,
     records: VecDeque<Vec<u8>>,
@@ -68,8 +67,15 @@
     }
 }
 
+/// Content of a store at some time.
+pub struct StoreCopy {
+    topics: Vec<(String, Topic)>,
+}
+
 struct State {
     topics: Vec<(String, Topic)>,
+    // Number of restores from a copy; sent in each response.
+    era: u64,
     behavior: Behavior,
     calls: u64,
     read_bytes: u64,
@@ -95,6 +101,7 @@
     pub fn start() -> Result<Self, anyhow::Error> {
         let state = State {
             topics: Vec::new(),
+            era: 0,
             behavior: Behavior::Normal,
             calls: 0,
             read_bytes: 0,
@@ -143,6 +150,20 @@
         self.shared.changed.notify_all();
     }
 
+    /// Returns a copy of all topics.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy { topics: self.shared.lock().topics.clone() }
+    }
+
+    /// Replaces all topics by those of a copy; what was written since is lost.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.shared.lock();
+        state.topics.clone_from(&copy.topics);
+        state.era += 1;
+        drop(state);
+        self.shared.changed.notify_all();
+    }
+
     /// Drops all records of a topic, but not the newest one of each key.
     pub fn truncate_history(&self, topic: &str) {
         let mut state = self.shared.lock();
@@ -189,7 +210,7 @@
             state.behavior
         };
         match behavior {
-            Behavior::Unavailable => return write_json(stream, 503, &json!({})),
+            Behavior::Unavailable => return self.write_json(stream, 503, &json!({})),
             Behavior::Unresponsive => return hold_connection(),
             Behavior::Normal | Behavior::LoseWriteResponses => {}
         }
@@ -201,13 +222,13 @@
                 if behavior == Behavior::LoseWriteResponses {
                     return hold_connection();
                 }
-                write_json(stream, status_code, &text)
+                self.write_json(stream, status_code, &text)
             }
             "/lovageridge/log-read" => self.read(stream, request, name),
             "/lovageridge/log-newest" => {
                 self.send_read(stream, self.newest(name).to_string().as_bytes())
             }
-            _ => write_json(stream, 404, &json!({})),
+            _ => self.write_json(stream, 404, &json!({})),
         }
     }
 
@@ -239,10 +260,10 @@
             let serves_reads =
                 matches!(state.behavior, Behavior::Normal | Behavior::LoseWriteResponses);
             let topic = state.topic(name);
-            if from < topic.first_offset {
+            if from < topic.first_offset || from > topic.end_offset() {
                 let first = topic.first_offset;
                 drop(state);
-                return write_json(stream, 410, &json!({"FirstOffset": first}));
+                return self.write_json(stream, 410, &json!({"FirstOffset": first}));
             }
             let remaining = deadline.saturating_duration_since(Instant::now());
             if topic.end_offset() > from || remaining.is_zero() || !serves_reads {
@@ -270,10 +291,10 @@
             state.read_bytes += body.len() as u64;
             state.bytes_per_s
         };
-        let Some(bytes_per_s) = bytes_per_s else { return write_response(stream, "200 OK", body) };
+        let Some(bytes_per_s) = bytes_per_s else { return self.write(stream, "200 OK", body) };
         let part_bytes = (body.len() / PACED_PARTS).max(1);
         let pause = Duration::from_secs_f64(part_bytes as f64 / bytes_per_s as f64);
-        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+        let head = self.head("200 OK", body.len());
         stream.write_all(head.as_bytes()).is_ok()
             && body.chunks(part_bytes).all(|part| {
                 thread::sleep(pause);
@@ -281,6 +302,26 @@
             })
     }
 
+    fn write_json(
+        &self,
+        stream: &mut TcpStream,
+        status_code: u16,
+        value: &serde_json::Value,
+    ) -> bool {
+        self.write(stream, &format!("{status_code} Status"), value.to_string().as_bytes())
+    }
+
+    fn write(&self, stream: &mut TcpStream, status: &str, body: &[u8]) -> bool {
+        let mut bytes = self.head(status, body.len()).into_bytes();
+        bytes.extend_from_slice(body);
+        stream.write_all(&bytes).is_ok()
+    }
+
+    fn head(&self, status: &str, body_bytes: usize) -> String {
+        let era = self.lock().era;
+        format!("HTTP/1.1 {status}\r\nContent-Length: {body_bytes}\r\nStore-Era: {era}\r\n\r\n")
+    }
+
     fn newest(&self, name: &str) -> serde_json::Value {
         let mut state = self.lock();
         let topic = state.topic(name);
@@ -290,10 +331,6 @@
     }
 }
 
-fn write_json(stream: &mut TcpStream, status_code: u16, value: &serde_json::Value) -> bool {
-    write_response(stream, &format!("{status_code} Status"), value.to_string().as_bytes())
-}
-
 /// Keeps the connection of a call open without a response.
 fn hold_connection() -> bool {
     thread::sleep(UNRESPONSIVE_TIME);
