Read the store anew after a restore from a copy

What callers would see: a confirmed configuration that is never in force, or comes seconds late. A cursor was a number alone. Offsets now belong to an era of the store (Store-Era). Whoever sees a higher one, in a response or in a message of another instance, discards its cursors and has the newest records read anew: readers from the store, the others from their reader.

--- a/lovageridge/src/gateway/connection.rs
+++ b/lovageridge/src/gateway/connection.rs
@@ -72,6 +72,8 @@
 pub struct CallResponse {
     /// HTTP status code.
     pub status_code: u16,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
 }
@@ -303,13 +305,14 @@
         () = tokio::time::sleep(limits.head) => return Err(timed_out(0)),
     };
     let status_code = response.status().as_u16();
+    let headers = response.headers().clone();
     let limits = match response.status() {
         StatusCode::OK => limits,
         _ => &ResponseLimits { on_progress: &|| {}, ..*limits },
     };
     (limits.on_progress)();
     let body = read_body(response.into_body(), limits, received_bytes).await?;
-    Ok((CallResponse { status_code, body }, sender))
+    Ok((CallResponse { status_code, headers, body }, sender))
 }
 
 async fn read_body(
--- a/lovageridge/src/gateway/crashes/persist.rs
+++ b/lovageridge/src/gateway/crashes/persist.rs
@@ -22,6 +22,7 @@
 use crate::gateway::crashes::stored::StoredReports;
 use crate::gateway::eventlog::Severity;
 use crate::gateway::message_fields::PromptPart;
+use crate::gateway::sync;
 use crate::platform::store;
 use crate::telemetry::events;
 
@@ -71,6 +72,13 @@
     true
 }
 
+/// Has what this instance knows written again after a restore of the store: the lead compares it with the
+/// record then, as if nothing of it had been stored.
+pub fn on_store_restored(gateway: &Gateway) {
+    set_stored(gateway, &CrashLedger::default());
+    gateway.crashes.store_due.notify_one();
+}
+
 /// Result of bringing the record up to date.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StoreOutcome {
@@ -204,6 +212,10 @@
     let call = client.call(Method::GET, &path, HeaderMap::new(), Bytes::new(), STORE_TIMEOUT);
     let response = call.await;
     let page = match &response {
+        Ok(response) if sync::check_era(gateway, response).is_err() => {
+            count_call(gateway, "crashes", "other_era");
+            return Err(());
+        }
         Ok(response) if response.status_code == 200 => store::parse_newest(&response.body),
         // The store creates the topic with its first record.
         Ok(response) if response.status_code == 404 => Ok(store::NewestPage::default()),
@@ -251,6 +263,10 @@
     let path = store::append_path(store::CRASHES_TOPIC, Some(end_offset));
     let call = client.call(Method::POST, &path, HeaderMap::new(), body, STORE_TIMEOUT);
     let (result, label) = match call.await {
+        // The record was written to another log than the one that was read.
+        Ok(response) if sync::check_era(gateway, &response).is_err() => {
+            (StoreOutcome::Contended, "other_era")
+        }
         Ok(response) if response.status_code == 200 => (StoreOutcome::Done, "ok"),
         Ok(response) if response.status_code == 412 => (StoreOutcome::Contended, "contended"),
         _ => (StoreOutcome::Failed, "failed"),
--- a/lovageridge/src/gateway/metrics.rs
+++ b/lovageridge/src/gateway/metrics.rs
@@ -55,6 +55,8 @@
     pub in_progress: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Number of restores of the store from a copy.
+    pub store_era: IntGauge,
     /// Newest version of the configuration that another instance has.
     pub config_version_heard: IntGauge,
     /// Transfers of records to peers, by result.
@@ -170,6 +172,7 @@
             )?,
             in_progress: gauge("gateway_requests_in_progress", "Requests in progress")?,
             config_version: gauge("gateway_config_version", "Version in force")?,
+            store_era: gauge("gateway_store_era", "Restores of the store from a copy")?,
             config_version_heard: gauge(
                 "gateway_config_version_heard",
                 "Newest version that another instance has",
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -50,6 +50,8 @@
 /// How far an instance has read the records of the store.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Progress {
+    /// Number of times that the store has been restored from a copy; the offsets belong to this era.
+    pub era: u64,
     /// Version of the configuration in force; 0 before the first one.
     pub config_version: u64,
     /// Offset after the last operator record read.
@@ -78,7 +80,9 @@
 
     /// Returns whether `other` covers records that are missing here.
     pub fn is_behind(&self, other: &Self) -> bool {
-        self.operator_end < other.operator_end || self.workers_end < other.workers_end
+        let is_behind =
+            self.operator_end < other.operator_end || self.workers_end < other.workers_end;
+        self.era < other.era || (self.era == other.era && is_behind)
     }
 }
 
@@ -215,6 +219,8 @@
 /// Consecutive records that the sender has read from the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RecordBatch {
+    /// Era of the store that the offsets belong to.
+    pub era: u64,
     /// Topic that the records belong to.
     pub topic: Topic,
     /// Offset at which the read started.
@@ -228,6 +234,8 @@
 /// A configuration that the sender has read from the store.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ConfigUpdate {
+    /// Era of the store that the offset belongs to.
+    pub era: u64,
     /// Offset after the last operator record read.
     pub next_offset: u64,
     /// The configuration, relative to the one before it.
@@ -312,6 +320,8 @@
 pub struct Snapshot {
     /// Configuration; `None` if there is none or the receiver has it.
     pub config: Option<Delta>,
+    /// Era of the store that the configuration was read in.
+    pub config_era: u64,
     /// How far the sender has read the store.
     pub progress: Progress,
     /// Worker records as stored, by worker id; `None` if they were not asked for.
@@ -479,7 +489,9 @@
     /// Returns the live peer that is furthest ahead of `own` in reading the store; `None` if none is.
     pub fn ahead_of(&self, own: Progress, now_ms: u64) -> Option<(&String, &Peer)> {
         let ahead = self.live(now_ms).filter(|(_, peer)| own.is_behind(&peer.progress));
-        ahead.max_by_key(|(_, peer)| (peer.progress.config_version, peer.progress.workers_end))
+        ahead.max_by_key(|(_, peer)| {
+            (peer.progress.era, peer.progress.config_version, peer.progress.workers_end)
+        })
     }
 }
 
--- a/lovageridge/src/gateway/peers/driver.rs
+++ b/lovageridge/src/gateway/peers/driver.rs
@@ -45,6 +45,8 @@
 const HEARTBEAT_PEERS: usize = 3;
 /// Time between reads of the announced addresses while no peer is live, in ms.
 const NO_PEERS_READ_MS: u64 = 3000;
+/// Age up to which a record may be missing from the copy that the store is restored from, in ms.
+const RESTORE_LOSS_MAX_MS: u64 = 60_000;
 /// Timeout of a call to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Delay of a demand report that was triggered early, in ms, so that requests that begin to wait
@@ -134,6 +136,7 @@
     }
     let now_ms = gateway.now_ms();
     gateway.peers.borrow_mut().on_message(&message, from, now_ms);
+    sync::note_era(gateway, message.progress.era);
     limits::driver::on_message_from(gateway, &message.sender);
     if gateway.store.borrow_mut().heard.on_heard(message.progress.config_version, now_ms) {
         gateway.metrics.config_version_heard.set(message.progress.config_version as i64);
@@ -158,7 +161,9 @@
             gateway.planning_due.notify_one();
         }
         Payload::Residency(residency) => {
-            on_residency(gateway, &message.sender, message.incarnation, residency, from);
+            let sender =
+                Sender { message_era: message.progress.era, incarnation: message.incarnation };
+            on_residency(gateway, &message.sender, sender, residency, from);
         }
         Payload::Batch(batch) => sync::apply_batch(gateway, &batch),
         Payload::Config(update) => {
@@ -205,10 +210,17 @@
     }
 }
 
+/// Process that sent a message, and the era of the store that it knew.
+#[derive(Clone, Copy, Debug)]
+struct Sender {
+    message_era: u64,
+    incarnation: u64,
+}
+
 fn on_residency(
     gateway: &Gateway,
     name: &str,
-    incarnation: u64,
+    sender: Sender,
     residency: Residency,
     from: SocketAddr,
 ) {
@@ -229,7 +241,10 @@
         received_at_ms: now_ms,
     });
     let mut election = gateway.election.borrow_mut();
-    election.on_lead_message(name, incarnation, residency.claims_end_offset, now_ms);
+    if sender.message_era == gateway.store.borrow().progress.era {
+        let end_offset = residency.claims_end_offset;
+        election.on_lead_message(name, sender.incarnation, end_offset, now_ms);
+    }
     drop(election);
     let mut changed = false;
     let mut directory = gateway.directory.borrow_mut();
@@ -254,7 +269,7 @@
 /// Announces the instance and sends heartbeats until the process ends.
 pub async fn run_heartbeats(gateway: Rc<Gateway>) {
     let mut client = HttpClient::new(gateway.settings().store_addr);
-    let mut announced = false;
+    let mut announced: Option<Announced> = None;
     let mut last_read_ms: Option<u64> = None;
     loop {
         let now_ms = gateway.now_ms();
@@ -262,8 +277,11 @@
         let has_no_live_peers = gateway.peers.borrow().live(now_ms).next().is_none();
         let read_due = last_read_ms
             .is_none_or(|read_ms| has_no_live_peers && now_ms >= read_ms + NO_PEERS_READ_MS);
-        if !announced {
-            announced = announce(&gateway, &mut client).await;
+        let era = gateway.store.borrow().progress.era;
+        if announced.is_none_or(|announced| announced.may_be_lost(era, now_ms))
+            && announce(&gateway, &mut client).await
+        {
+            announced = Some(Announced { era, at_ms: now_ms });
         }
         if read_due {
             last_read_ms = Some(now_ms);
@@ -281,6 +299,20 @@
     }
 }
 
+/// When this instance published its address.
+#[derive(Clone, Copy, Debug)]
+struct Announced {
+    era: u64,
+    at_ms: u64,
+}
+
+impl Announced {
+    /// Returns whether a restore of the store that led to `era` may have lost the announcement.
+    fn may_be_lost(self, era: u64, now_ms: u64) -> bool {
+        self.era < era && now_ms < self.at_ms + RESTORE_LOSS_MAX_MS
+    }
+}
+
 async fn announce(gateway: &Gateway, client: &mut HttpClient) -> bool {
     let announcement =
         Announcement { addr: gateway.settings().peers_addr, incarnation: gateway.incarnation };
@@ -288,15 +320,20 @@
     let body = store::frame_keyed(&gateway.settings().instance_id, &value);
     let path = store::append_path(store::PEERS_TOPIC, None);
     let call = client.call(Method::POST, &path, HeaderMap::new(), Bytes::from(body), STORE_TIMEOUT);
-    let result = success_body(call.await);
+    let result = success_body(gateway, call.await);
     record_store_call(gateway, "announce", &result);
     result.is_ok()
 }
 
 /// Returns the body of a response with status 200, otherwise the reason for the failure.
-fn success_body(response: Result<CallResponse, connection::Error>) -> Result<Bytes, String> {
+fn success_body(
+    gateway: &Gateway,
+    response: Result<CallResponse, connection::Error>,
+) -> Result<Bytes, String> {
     match response {
-        Ok(response) if response.status_code == 200 => Ok(response.body),
+        Ok(response) if response.status_code == 200 => {
+            sync::check_era(gateway, &response).map(|()| response.body)
+        }
         Ok(response) => Err(format!("status {}", response.status_code)),
         Err(error) => Err(error.to_string()),
     }
@@ -314,7 +351,7 @@
 async fn read_announcements(gateway: &Gateway, client: &mut HttpClient) {
     let path = store::newest_path(store::PEERS_TOPIC, None);
     let call = client.call(Method::GET, &path, HeaderMap::new(), Bytes::new(), STORE_TIMEOUT);
-    let page = success_body(call.await)
+    let page = success_body(gateway, call.await)
         .and_then(|body| store::parse_newest(&body).map_err(|error| error.to_string()));
     record_store_call(gateway, "peers", &page);
     let Ok(page) = page else { return };
@@ -400,6 +437,7 @@
         return;
     }
     let change = store.config.as_ref().map(StoredConfig::change);
+    let era = store.progress.era;
     let change = match change {
         Some(Ok(change)) if change.len() <= BATCH_MAX_BYTES => Some(change.clone()),
         _ => None,
@@ -407,7 +445,8 @@
     drop(store);
     match change {
         Some(change) => {
-            send_to_domain(gateway, Payload::Config(ConfigUpdate { next_offset, change }));
+            let update = ConfigUpdate { era, next_offset, change };
+            send_to_domain(gateway, Payload::Config(update));
         }
         // Instances that are behind then fetch it.
         None => report_reads(gateway),
--- a/lovageridge/src/gateway/peers/tests.rs
+++ b/lovageridge/src/gateway/peers/tests.rs
@@ -24,7 +24,7 @@
         domain: domain.to_owned(),
         incarnation,
         is_small: false,
-        progress: Progress { config_version: 3, operator_end: 5, workers_end },
+        progress: Progress { era: 0, config_version: 3, operator_end: 5, workers_end },
         read_age_ms: None,
         lead: Some(LeadInfo { fence: 4, age_ms: 20, addr: None }),
         payload: Payload::Heartbeat { reply_requested: true },
@@ -75,7 +75,7 @@
     peers.on_message(&heartbeat("dead", "a", 1, 99), addr(1), 0);
     peers.on_message(&heartbeat("behind", "a", 1, 4), addr(2), 9000);
     peers.on_message(&heartbeat("ahead", "b", 1, 12), addr(3), 9000);
-    let own = Progress { config_version: 3, operator_end: 5, workers_end: 8 };
+    let own = Progress { era: 0, config_version: 3, operator_end: 5, workers_end: 8 };
     let found = peers.ahead_of(own, 9100).map(|(name, _)| name.as_str());
     assert_eq!(found, Some("ahead"));
     let own = Progress { workers_end: 12, ..own };
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -13,7 +13,9 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::catalog::Catalog;
+use crate::gateway::connection::CallResponse;
 use crate::gateway::connection::HttpClient;
+use crate::gateway::crashes;
 use crate::gateway::directory::Change;
 use crate::gateway::eventlog::Severity;
 use crate::gateway::peers;
@@ -24,6 +26,7 @@
 use crate::gateway::sync::delta::Delta;
 use crate::gateway::sync::delta::DocumentId;
 use crate::gateway::sync::document::StoredConfig;
+use crate::gateway::sync::view::EraChange;
 use crate::gateway::sync::view::ReadStep;
 use crate::gateway::sync::view::Topic;
 use crate::platform;
@@ -217,13 +220,14 @@
         // More has been written than one read returns; only the newest of it matters.
         gateway.store.borrow_mut().on_expired(topic);
     }
+    let era = gateway.store.borrow().progress.era;
     let has_new_config = gateway.store.borrow().progress.config_version > before;
     match topic {
         Topic::Operator if has_new_config => peers::driver::send_config(gateway, next_offset),
         Topic::Operator => peers::driver::report_reads(gateway),
         Topic::Workers => peers::driver::send_batch(
             gateway,
-            RecordBatch { topic, start_offset: offset, next_offset, records: tail.records },
+            RecordBatch { era, topic, start_offset: offset, next_offset, records: tail.records },
         ),
     }
     Ok(())
@@ -247,6 +251,9 @@
 /// Applies the workers' records that another instance of the domain has read, unless earlier ones are
 /// missing here.
 pub fn apply_batch(gateway: &Gateway, batch: &RecordBatch) {
+    if note_era(gateway, batch.era) != EraChange::None {
+        return;
+    }
     let own = gateway.store.borrow().next_offset(batch.topic);
     let Some(own) = own.filter(|own| (batch.start_offset..batch.next_offset).contains(own)) else {
         return;
@@ -261,13 +268,16 @@
 /// Applies the configuration that another instance of the domain has read, if this one has the document
 /// that it is relative to.
 pub async fn apply_config_update(gateway: &Gateway, update: ConfigUpdate) {
-    if !gateway.store.borrow().heard.is_newer() {
+    if note_era(gateway, update.era) != EraChange::None {
         return;
     }
     // Otherwise the configuration is fetched.
     if let Ok(document) = restore(gateway, &update.change) {
-        gateway.store.borrow_mut().advance(Topic::Operator, update.next_offset);
-        apply_config(gateway, document, SOURCE_BATCH).await;
+        let is_following = gateway.store.borrow().next_offset(Topic::Operator).is_some();
+        if is_following {
+            gateway.store.borrow_mut().advance(Topic::Operator, update.next_offset);
+        }
+        apply_config(gateway, document, update.era, SOURCE_BATCH).await;
     }
 }
 
@@ -313,9 +323,46 @@
     };
     gateway.metrics.store_calls_total.with_label_values(&[call, result]).inc();
     let response = response.map_err(|error| error.to_string())?;
+    check_era(gateway, &response)?;
     Ok((response.status_code, response.body))
 }
 
+/// Compares the era of a response of the store with the newest one known and starts what a restore requires.
+///
+/// # Errors
+/// Returns why the response cannot be used: it belongs to another era than the call, or is not known to be
+/// of the store.
+pub fn check_era(gateway: &Gateway, response: &CallResponse) -> Result<(), String> {
+    let Some(era) = store::era(&response.headers) else {
+        let knows_era = gateway.store.borrow().knows_era();
+        return match knows_era {
+            true => Err(format!("status {} without an era", response.status_code)),
+            false => Ok(()),
+        };
+    };
+    match note_era(gateway, era) {
+        EraChange::None => Ok(()),
+        EraChange::Restored => Err(format!("the store was restored from a copy (era {era})")),
+        EraChange::Outdated => Err(format!("the response is from era {era}, before a restore")),
+    }
+}
+
+/// Compares an era with the newest one known; after a restore, discards what depends on offsets and has the
+/// records of this instance written again.
+pub fn note_era(gateway: &Gateway, era: u64) -> EraChange {
+    let now_ms = gateway.now_ms();
+    let change = gateway.store.borrow_mut().on_era(era, now_ms);
+    if change == EraChange::Restored {
+        let line = gateway.log.line(events::STORE_RESTORED, Severity::Notable);
+        line.number("era", era).emit();
+        gateway.metrics.store_era.set(era as i64);
+        crashes::persist::on_store_restored(gateway);
+        gateway.reader_advanced.notify_waiters();
+        gateway.config_heard.notify_one();
+    }
+    change
+}
+
 /// Records a successful read and logs the end of an outage.
 fn record_answer(gateway: &Gateway, topic: Topic) {
     if gateway.store.borrow_mut().on_answer(topic, gateway.now_ms()) {
@@ -341,7 +388,8 @@
 async fn apply(gateway: &Gateway, topic: Topic, record: KeyedRecord, source: &str) {
     match topic {
         Topic::Operator if record.key == store::CONFIG_KEY => {
-            apply_config(gateway, Bytes::from(record.value), source).await;
+            let era = gateway.store.borrow().progress.era;
+            apply_config(gateway, Bytes::from(record.value), era, source).await;
         }
         Topic::Operator => {}
         Topic::Workers => apply_worker_record(gateway, &record),
@@ -355,17 +403,31 @@
     }
 }
 
-/// Puts a configuration from `source` in force, unless its version or a newer one already is.
-async fn apply_config(gateway: &Gateway, document: Bytes, source: &str) {
+/// Puts a configuration from `source`, read in `era`, in force, unless its version or a newer one already
+/// is. After a restore of the store the operator may have written another document under the same version.
+async fn apply_config(gateway: &Gateway, document: Bytes, era: u64, source: &str) {
     let started = Instant::now();
     let catalog = match parse_config(&document).await {
         Ok(catalog) => catalog,
         Err(error) => return log_skipped_record(gateway, Topic::Operator, "config", &error),
     };
     let before = gateway.catalog().map(|catalog| catalog.version);
-    if before.is_some_and(|version| version >= catalog.version) {
+    let replaces = before.is_none_or(|version| {
+        version < catalog.version
+            || version == catalog.version
+                && gateway.store.borrow().config.as_ref().is_some_and(|config| config.era < era)
+    });
+    if !replaces {
         return;
     }
+    if before == Some(catalog.version) {
+        let mut store = gateway.store.borrow_mut();
+        let id = DocumentId::of(&document);
+        if let Some(config) = store.config.as_mut().filter(|config| config.id == id) {
+            config.era = era;
+            return;
+        }
+    }
     let line = gateway.log.line(events::CONFIG_IN_FORCE, Severity::Notable);
     line.number("version", catalog.version)
         .number("before", before.map_or(-1, i128::from))
@@ -376,7 +438,7 @@
         .emit();
     gateway.metrics.config_version.set(catalog.version as i64);
     let mut store = gateway.store.borrow_mut();
-    store.config = Some(StoredConfig::new(document, store.config.as_ref()));
+    store.config = Some(StoredConfig::new(document, era, store.config.as_ref()));
     store.progress.config_version = catalog.version;
     store.heard.on_in_force(catalog.version);
     drop(store);
@@ -472,17 +534,24 @@
     });
     let workers = store.workers.iter().map(|(id, bytes)| (id.clone(), bytes.clone()));
     let workers = with_workers.then(|| workers.collect());
-    Snapshot { config, progress: store.progress, workers }
+    let config_era = store.config.as_ref().map_or(0, |config| config.era);
+    Snapshot { config, config_era, progress: store.progress, workers }
 }
 
 /// Applies what is newer in a snapshot than here.
 pub async fn apply_snapshot(gateway: &Gateway, snapshot: Snapshot) {
     if let Some(change) = &snapshot.config {
         match restore(gateway, change) {
-            Ok(document) => apply_config(gateway, document, SOURCE_SNAPSHOT).await,
+            Ok(document) => {
+                apply_config(gateway, document, snapshot.config_era, SOURCE_SNAPSHOT).await;
+            }
             Err(error) => return log_skipped_document(gateway, &error),
         }
     }
+    // The offsets and the workers' records of another era say nothing about this one.
+    if note_era(gateway, snapshot.progress.era) == EraChange::Outdated {
+        return;
+    }
     gateway.store.borrow_mut().advance_if_newer(Topic::Operator, snapshot.progress.operator_end);
     if let Some(workers) = &snapshot.workers {
         apply_worker_snapshot(gateway, workers, snapshot.progress.workers_end);
@@ -508,5 +577,5 @@
             apply_worker(gateway, id, bytes);
         }
     }
-    gateway.store.borrow_mut().progress.advance(Topic::Workers, workers_end);
+    gateway.store.borrow_mut().advance_if_newer(Topic::Workers, workers_end);
 }
--- a/lovageridge/src/gateway/sync/document.rs
+++ b/lovageridge/src/gateway/sync/document.rs
@@ -13,6 +13,8 @@
 pub struct StoredConfig {
     /// Digest of the document.
     pub id: DocumentId,
+    /// Era of the store that it was read in.
+    pub era: u64,
     /// The document as stored.
     pub document: Bytes,
     previous: Option<(DocumentId, Bytes)>,
@@ -21,10 +23,11 @@
 }
 
 impl StoredConfig {
-    /// Returns `document` as the successor of `before`.
-    pub fn new(document: Bytes, before: Option<&Self>) -> Self {
+    /// Returns `document`, read in `era`, as the successor of `before`.
+    pub fn new(document: Bytes, era: u64, before: Option<&Self>) -> Self {
         Self {
             id: DocumentId::of(&document),
+            era,
             document,
             previous: before.map(|before| (before.id, before.document.clone())),
             change: OnceCell::new(),
--- a/lovageridge/src/gateway/sync/transfer.rs
+++ b/lovageridge/src/gateway/sync/transfer.rs
@@ -72,7 +72,8 @@
 }
 
 fn needs_all_records(gateway: &Gateway) -> bool {
-    gateway.catalog().is_none() || gateway.store.borrow().is_unreachable()
+    let store = gateway.store.borrow();
+    gateway.catalog().is_none() || store.is_unreachable() || store.needs_newest()
 }
 
 async fn fetch_all_records(gateway: &Gateway) {
--- a/lovageridge/src/gateway/sync/view.rs
+++ b/lovageridge/src/gateway/sync/view.rs
@@ -5,6 +5,8 @@
 //! datagrams. They read from the store themselves when a datagram was lost or the reader's last read
 //! is no longer fresh.
 
+use std::cmp::Ordering;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -74,6 +76,17 @@
     }
 }
 
+/// How the era of a response or message compares with the newest one known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum EraChange {
+    /// It is the same.
+    None,
+    /// The store has been restored from a copy since.
+    Restored,
+    /// The response or message is from before a restore.
+    Outdated,
+}
+
 /// Next step in reading a topic.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ReadStep {
@@ -152,7 +165,9 @@
         is_shared: bool,
         now_ms: u64,
     ) -> ReadStep {
-        let Some(offset) = self.state(topic).next_offset else { return ReadStep::ReadNewest };
+        let Some(offset) = self.state(topic).next_offset else {
+            return self.step_to_newest(topic, reader, now_ms);
+        };
         let (Some(reader), Some(fresh_until_ms)) = (reader, reader.and_then(fresh_until_ms)) else {
             // While the store is unreachable reads do not wait, so that its recovery is noticed soon.
             let wait_ms = match (self.is_unreachable(), is_shared) {
@@ -182,6 +197,21 @@
         ReadStep::ReadFrom { offset, wait_ms: 0 }
     }
 
+    /// Returns the step that leads to the newest records: another instance is asked for them first if this
+    /// one relies on it.
+    fn step_to_newest(&mut self, topic: Topic, reader: Option<&Peer>, now_ms: u64) -> ReadStep {
+        let has_all = reader.is_some_and(|reader| {
+            reader.progress.operator_end > 0 && reader.progress.workers_end > 0
+        });
+        if !has_all {
+            return ReadStep::ReadNewest;
+        }
+        let transferring_ms = self.transferring_ms;
+        let since_ms = *self.state_mut(topic).behind_since_ms.get_or_insert(now_ms);
+        let until_ms = since_ms.max(transferring_ms) + TRANSFER_WAIT_MS;
+        if now_ms < until_ms { ReadStep::Follow { until_ms } } else { ReadStep::ReadNewest }
+    }
+
     /// Sets the instance whose reads this one relies on; returns whether it has changed.
     pub fn set_reader(&mut self, reader: Option<&str>) -> bool {
         if self.reader.as_deref() == reader {
@@ -201,17 +231,54 @@
         Some(reader)
     }
 
+    /// Compares an era of the store with the newest one known. After a restore offsets are given out again,
+    /// so all that was read by offset is read anew; the configuration in force stays.
+    pub fn on_era(&mut self, era: u64, now_ms: u64) -> EraChange {
+        match era.cmp(&self.progress.era) {
+            Ordering::Equal => EraChange::None,
+            Ordering::Less => EraChange::Outdated,
+            Ordering::Greater => {
+                let has_read = self.operator_state.next_offset.is_some()
+                    || self.workers_state.next_offset.is_some();
+                let config_version = self.progress.config_version;
+                self.progress = Progress { era, config_version, ..Progress::default() };
+                for topic in [Topic::Operator, Topic::Workers] {
+                    let state = self.state_mut(topic);
+                    state.next_offset = None;
+                    state.behind_since_ms = None;
+                }
+                if !has_read {
+                    return EraChange::None;
+                }
+                // Live workers write their records again, as after an outage.
+                self.recovered_ms = Some(now_ms);
+                EraChange::Restored
+            }
+        }
+    }
+
+    /// Returns whether the store has ever said which era it is in.
+    pub fn knows_era(&self) -> bool {
+        self.progress.era > 0
+    }
+
+    /// Returns whether the newest records of a topic have to be read.
+    pub fn needs_newest(&self) -> bool {
+        self.operator_state.next_offset.is_none() || self.workers_state.next_offset.is_none()
+    }
+
     /// Returns the offset of the next record to read of `topic`; `None` when the newest records must
     /// be read first.
     pub fn next_offset(&self, topic: Topic) -> Option<u64> {
         self.state(topic).next_offset
     }
 
-    /// Raises the offset of the next record to read of `topic`, unless the newest records must be read.
+    /// Records that another instance has read `topic` up to `offset` and has passed on all it has read.
     pub fn advance_if_newer(&mut self, topic: Topic, offset: u64) {
         self.progress.advance(topic, offset);
         let state = self.state_mut(topic);
-        state.next_offset = state.next_offset.map(|own| own.max(offset));
+        let own = state.next_offset.unwrap_or(0);
+        state.next_offset = (offset > 0).then_some(own.max(offset)).or(state.next_offset);
     }
 
     /// Records that a part of a transfer from another instance has arrived.
@@ -221,7 +288,9 @@
 
     /// Records that `topic` has been read up to `offset`, by this instance or another one.
     pub fn advance(&mut self, topic: Topic, offset: u64) {
-        self.state_mut(topic).next_offset = Some(offset);
+        let state = self.state_mut(topic);
+        state.next_offset = Some(offset);
+        state.behind_since_ms = None;
         self.progress.advance(topic, offset);
     }
 
--- a/lovageridge/src/platform/store.rs
+++ b/lovageridge/src/platform/store.rs
@@ -3,6 +3,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use hyper::HeaderMap;
 use serde::Deserialize;
 
 use crate::platform::Error;
@@ -22,6 +23,11 @@
 /// Topic of the claims to leadership.
 pub const LEAD_TOPIC: &str = "lead";
 
+/// Header with the number of times that the store has been restored from a copy.
+const ERA_HEADER: &str = "store-era";
+/// Largest usable number of restores; fencing numbers are composed of it.
+const ERA_MAX: u64 = (1 << 20) - 1;
+
 /// Limit of the size of a read, in KiB.
 const READ_MAX_KIB: u32 = 1024;
 
@@ -94,6 +100,13 @@
     end_offset: u64,
 }
 
+/// Returns how many times the store had been restored from a copy when it sent a response with these
+/// headers; `None` if they do not tell or the number is unusable.
+pub fn era(headers: &HeaderMap) -> Option<u64> {
+    let era = headers.get(ERA_HEADER)?.to_str().ok()?.trim().parse().ok()?;
+    (era <= ERA_MAX).then_some(era)
+}
+
 /// Returns the path of a read of the newest record of each key that follows `after`.
 pub fn newest_path(topic: &str, after: Option<&str>) -> String {
     let after = after.map(|key| format!("&after={key}")).unwrap_or_default();
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -146,4 +146,6 @@
     GRANTING_SILENT = 735 "granting_silent";
     /// Another instance has had a newer configuration for some time.
     CONFIG_BEHIND = 736 "config_behind";
+    /// The store has come back from an older copy of itself.
+    STORE_RESTORED = 737 "store_restored";
 }
