Take the era of the store into the fencing number

The number was the offset of the claim, and offsets are given out again after a restore. It now begins with the era of the store, so that it rises over a restore. A lead of an earlier era claims anew; others leave it the validity of a renewal for that. An append that succeeds in a later era than that of the log it was meant for is not used as a claim, since claims of others may precede it unseen. a_lead_after_a_restore_has_a_higher_fencing_number was red before (all orders under number 0) and is green.

--- a/lovageridge/src/gateway/lead.rs
+++ b/lovageridge/src/gateway/lead.rs
@@ -5,6 +5,9 @@
 //! the instance read it, so only one of several claimants succeeds. The offset of the claim is the
 //! fencing number. The lead renews its claim with further conditional appends; other instances
 //! claim once the log has not grown for as long as a renewal is valid.
+//!
+//! After a restore of the store from a copy offsets are given out again. The fencing number therefore
+//! begins with the era of the store, and a lead of an earlier era has to claim anew.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -28,6 +31,9 @@
 /// numbers, in ms.
 const UNRENEWED_MAX_MS: u64 = 20_000;
 
+/// Number of bits of an offset in a fencing number; the era is in those above it.
+const FENCE_OFFSET_BITS: u32 = 32;
+
 /// A record in the log: a claim, a renewal or a release.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeadRecord {
@@ -90,6 +96,10 @@
     last_renewal_ms: u64,
     // Time of the last claim; limits the rate of claims that the store refuses.
     last_claim_ms: Option<u64>,
+    // Era of the store that the offsets belong to.
+    era: u64,
+    // Time before which no claim is made, in ms.
+    claims_from_ms: u64,
 }
 
 impl Election {
@@ -117,6 +127,8 @@
             leadership: None,
             last_renewal_ms: 0,
             last_claim_ms: None,
+            era: 0,
+            claims_from_ms: 0,
         }
     }
 
@@ -166,6 +178,7 @@
         }
         let next_claim_ms =
             self.last_claim_ms.map_or(0, |claimed_ms| claimed_ms + RENEW_INTERVAL_MS);
+        let next_claim_ms = next_claim_ms.max(self.claims_from_ms);
         if now_ms < next_claim_ms.max(self.log_end_seen_ms + self.claim_delay_ms()) {
             return Step::Idle;
         }
@@ -211,6 +224,39 @@
         Step::Read { from_offset }
     }
 
+    /// Handles the era of the store. After a restore all that was read from the log is void. The lead claims
+    /// again, and others leave it the time for that.
+    pub fn on_era(&mut self, era: u64, now_ms: u64) {
+        if era <= self.era {
+            return;
+        }
+        self.era = era;
+        let was_lead = self.leadership.take().is_some();
+        let has_read = self.log_end_offset.take().is_some();
+        self.log_end_seen_ms = now_ms;
+        self.last_record = None;
+        self.last_read_ms = None;
+        self.append_unresolved = false;
+        if has_read && !was_lead {
+            self.wait_for_others(now_ms);
+        }
+    }
+
+    /// Handles an append that succeeded in a later era than the one whose log it was meant for. The claim is
+    /// not used, since the log may hold claims of others that are not known here.
+    pub fn on_appended_in_other_era(&mut self, now_ms: u64) {
+        self.leadership = None;
+        self.wait_for_others(now_ms);
+    }
+
+    fn wait_for_others(&mut self, now_ms: u64) {
+        self.claims_from_ms = now_ms + RENEWAL_VALID_MS + self.stagger_ms;
+    }
+
+    fn fence_at(&self, offset: u64) -> u64 {
+        self.era << FENCE_OFFSET_BITS | offset
+    }
+
     /// Handles a read that failed because the records before `first_offset` have expired.
     pub fn on_expired(&mut self, first_offset: u64) {
         // The next read starts from `first_offset` and returns the end of the log.
@@ -232,7 +278,7 @@
         if let Some((offset, last)) = records.last() {
             if is_own(last) && !last.released {
                 // The append whose result was unknown has taken effect.
-                let fence = last.fence.unwrap_or(*offset);
+                let fence = last.fence.unwrap_or(self.fence_at(*offset));
                 if self.append_unresolved && self.leadership.is_none() {
                     self.become_lead(fence, now_ms, predecessor_seen_ms, now_ms);
                 }
@@ -281,7 +327,7 @@
             Some(leadership) => leadership.renewed_ms = started_ms,
             None if !record.released => {
                 self.become_lead(
-                    record.fence.unwrap_or(offset),
+                    record.fence.unwrap_or(self.fence_at(offset)),
                     started_ms,
                     predecessor_seen_ms,
                     now_ms,
--- a/lovageridge/src/gateway/lead/driver.rs
+++ b/lovageridge/src/gateway/lead/driver.rs
@@ -14,6 +14,7 @@
 use crate::gateway::fleet::Fleet;
 use crate::gateway::lead::LeadRecord;
 use crate::gateway::lead::Step;
+use crate::gateway::sync;
 use crate::platform::store;
 use crate::telemetry::events;
 
@@ -56,6 +57,9 @@
         Ok(response) => response,
         Err(error) => return record_failure(gateway, "claims", "no_answer", &error.to_string()),
     };
+    if let Err(reason) = sync::check_era(gateway, &response) {
+        return record_failure(gateway, "claims", "other_era", &reason);
+    }
     let now_ms = gateway.now_ms();
     let mut election = gateway.election.borrow_mut();
     match response.status_code {
@@ -103,6 +107,14 @@
     let call = client.call(Method::POST, &path, HeaderMap::new(), Bytes::from(body), CALL_TIMEOUT);
     let response = call.await;
     let now_ms = gateway.now_ms();
+    if let Ok(response) = &response
+        && let Err(reason) = sync::check_era(gateway, response)
+    {
+        if response.status_code == 200 {
+            gateway.election.borrow_mut().on_appended_in_other_era(now_ms);
+        }
+        return record_failure(gateway, "claim", "other_era", &reason);
+    }
     let mut election = gateway.election.borrow_mut();
     match response {
         Ok(response) if response.status_code == 200 => {
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -352,6 +352,9 @@
 pub fn note_era(gateway: &Gateway, era: u64) -> EraChange {
     let now_ms = gateway.now_ms();
     let change = gateway.store.borrow_mut().on_era(era, now_ms);
+    if gateway.store.borrow().progress.era == era {
+        gateway.election.borrow_mut().on_era(era, now_ms);
+    }
     if change == EraChange::Restored {
         let line = gateway.log.line(events::STORE_RESTORED, Severity::Notable);
         line.number("era", era).emit();
