Recognize records from before a worker's removal after a restore

What callers would see: requests sent to workers that have left (DRAIN), since the copy that the store came back from still lists them as ready. Removed workers are remembered for a minute, bounded; after a restore a record of one is used only if it is newer: a later start, or a higher sequence number unless the worker was leaving.

--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -18,11 +18,13 @@
 use crate::sorted::Table;
 
 pub mod choose;
+pub mod departed;
 pub mod health;
 
 #[cfg(test)]
 pub(crate) mod tests;
 
+use crate::gateway::directory::departed::DepartedWorkers;
 use crate::gateway::directory::health::Health;
 
 /// Time for which the result of contacting a worker counts for the reachability of its failure
@@ -68,6 +70,8 @@
     pub remaining_ms: Option<u64>,
     /// Start time of the worker, as Unix time in ms.
     pub start_unix_ms: u64,
+    /// Number that grows with each record of the worker; 0 if it numbers none.
+    pub sequence: u64,
     /// Models in accelerator memory, sorted by name.
     pub models: Vec<LoadedModel>,
     /// Models with a copy in host memory.
@@ -159,6 +163,7 @@
     delayed_models: Vec<(Tag, u64)>,
     status_received_ms: u64,
     detached_limits: DetachedLimits,
+    departed: DepartedWorkers,
 }
 
 impl Directory {
@@ -199,6 +204,12 @@
         change
     }
 
+    /// Returns whether `record` was written before the worker was removed here; a store that has been
+    /// restored from a copy holds such records.
+    pub fn is_outdated(&self, record: &WorkerRecord, now_ms: u64) -> bool {
+        !self.workers.contains(record.id.as_str()) && self.departed.is_outdated(record, now_ms)
+    }
+
     /// Applies the removal of a worker's record.
     ///
     /// `expires_ms` is set if the record may have expired only because the store was unavailable.
@@ -210,6 +221,7 @@
             return Change::None;
         }
         self.detached_limits.keep(worker.key, worker.limit, now_ms);
+        self.departed.on_removed(worker, now_ms);
         self.workers.remove(id);
         Change::Removed
     }
@@ -226,6 +238,7 @@
             let stays = !worker.has_expired(now_ms);
             if !stays {
                 self.detached_limits.keep(worker.key, worker.limit, now_ms);
+                self.departed.on_removed(worker, now_ms);
                 removed.push(id.clone());
             }
             stays
--- /dev/null
+++ b/lovageridge/src/gateway/directory/departed.rs
@@ -0,0 +1,57 @@
+//! Workers that were removed, so that older records of them that a restored store holds are recognized.
+
+use crate::gateway::directory::Worker;
+use crate::gateway::directory::WorkerRecord;
+use crate::sorted::Table;
+
+/// Time for which a removed worker is remembered, in ms; longer than the time that a restore takes back.
+const RETENTION_MS: u64 = 60_000;
+/// Most removed workers that are remembered.
+const WORKERS_MAX: usize = 512;
+
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    start_unix_ms: u64,
+    sequence: u64,
+    leaving: bool,
+    removed_ms: u64,
+}
+
+/// The workers that were removed lately, by id.
+#[derive(Clone, Debug, Default)]
+pub struct DepartedWorkers {
+    workers: Table<String, Departure>,
+}
+
+impl DepartedWorkers {
+    /// Records that `worker` is removed.
+    pub fn on_removed(&mut self, worker: &Worker, now_ms: u64) {
+        self.workers.retain(|_, departure| now_ms < departure.removed_ms + RETENTION_MS);
+        if self.workers.len() >= WORKERS_MAX {
+            let oldest = self.workers.iter().min_by_key(|(_, departure)| departure.removed_ms);
+            if let Some(id) = oldest.map(|(id, _)| id.clone()) {
+                self.workers.remove(id.as_str());
+            }
+        }
+        let departure = Departure {
+            start_unix_ms: worker.record.start_unix_ms,
+            sequence: worker.record.sequence,
+            leaving: worker.record.leaving,
+            removed_ms: now_ms,
+        };
+        self.workers.insert(worker.record.id.clone(), departure);
+    }
+
+    /// Returns whether `record` was written before the worker's removal.
+    pub fn is_outdated(&self, record: &WorkerRecord, now_ms: u64) -> bool {
+        let Some(departure) = self.workers.get(record.id.as_str()) else { return false };
+        if now_ms >= departure.removed_ms + RETENTION_MS {
+            return false;
+        }
+        let is_same_start = record.start_unix_ms == departure.start_unix_ms;
+        let is_not_newer = departure.sequence > 0 && record.sequence <= departure.sequence;
+        // A worker that was leaving does not return before it starts again.
+        record.start_unix_ms < departure.start_unix_ms
+            || is_same_start && (departure.leaving || is_not_newer)
+    }
+}
--- a/lovageridge/src/gateway/directory/tests.rs
+++ b/lovageridge/src/gateway/directory/tests.rs
@@ -24,6 +24,7 @@
         leaving: false,
         remaining_ms: None,
         start_unix_ms: 100,
+        sequence: 0,
         models: models.iter().map(loaded).collect(),
         in_memory: Vec::new(),
         on_disk: Vec::new(),
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -468,6 +468,12 @@
         Err(error) => return log_skipped_record(gateway, Topic::Workers, id, &error),
     };
     let now_ms = gateway.now_ms();
+    let was_restored = gateway.store.borrow().was_restored(now_ms);
+    if was_restored && gateway.directory.borrow().is_outdated(&record, now_ms) {
+        let line = gateway.log.line(events::RECORD_SKIPPED, Severity::Routine);
+        let line = line.text("topic", Topic::Workers.name()).text("key", id);
+        return line.text("reason", "written before the worker was removed").emit();
+    }
     gateway.store.borrow_mut().workers.insert(id.to_owned(), bytes.to_vec());
     if let Some(fleet) = gateway.fleet.borrow_mut().as_mut()
         && gateway.catalog().is_some_and(|catalog| catalog.engine(&record.service).is_some())
--- a/lovageridge/src/gateway/sync/view.rs
+++ b/lovageridge/src/gateway/sync/view.rs
@@ -46,6 +46,8 @@
 /// Time after the store has recovered within which live workers write their records again, in ms: two
 /// seconds and a read.
 const REREGISTRATION_MS: u64 = 2300;
+/// Time after a restore of the store for which it may hold outdated records, in ms.
+const RESTORED_RECENT_MS: u64 = 60_000;
 /// Time for which reads must fail to count as an outage, in ms.
 const OUTAGE_MIN_MS: u64 = 800;
 
@@ -139,6 +141,8 @@
     consecutive_failures: u32,
     last_answer_ms: Option<u64>,
     recovered_ms: Option<u64>,
+    // Time at which a restore of the store was noticed.
+    restored_ms: Option<u64>,
 }
 
 impl StoreView {
@@ -250,6 +254,7 @@
                 if !has_read {
                     return EraChange::None;
                 }
+                self.restored_ms = Some(now_ms);
                 // Live workers write their records again, as after an outage.
                 self.recovered_ms = Some(now_ms);
                 EraChange::Restored
@@ -257,6 +262,11 @@
         }
     }
 
+    /// Returns whether the store may still hold records that were outdated before its restore.
+    pub fn was_restored(&self, now_ms: u64) -> bool {
+        self.restored_ms.is_some_and(|restored_ms| now_ms < restored_ms + RESTORED_RECENT_MS)
+    }
+
     /// Returns whether the store has ever said which era it is in.
     pub fn knows_era(&self) -> bool {
         self.progress.era > 0
--- a/lovageridge/src/platform/workers.rs
+++ b/lovageridge/src/platform/workers.rs
@@ -27,6 +27,8 @@
     // Start time of the worker, as Unix time in ms.
     #[serde(default, rename = "born")]
     born_ms: u64,
+    #[serde(default)]
+    seq: u64,
 }
 
 /// A model in the accelerator memory of a worker, as listed in records and reports.
@@ -105,6 +107,7 @@
         leaving,
         remaining_ms: json.remaining_ms.map(|ms| ms as u64),
         start_unix_ms: json.born_ms,
+        sequence: json.seq,
         models,
         in_memory: json.at_hand.in_memory,
         on_disk: json.at_hand.on_disk,
