Send nothing further to a worker that says that it leaves

New rule: a worker that is shutting down says so in its responses (Server-Leaving: 1), before or without its record saying so, and wants no further requests from the instance that has passed on such a response. It went on getting half of them. The head of a response is enough, so that a body without end does not hide it. The knowledge belongs to the start of the worker: it is taken from responses to this request only, ends when the worker starts again, survives a removal of its record for a minute, and is told to the other instances of the failure domain. a_worker_that_says_that_it_leaves_gets_no_further_requests was red before (31 of 60 requests went there) and is green.

--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -28,6 +28,8 @@
 use crate::gateway::message_fields::StatedLimit;
 use crate::gateway::message_fields::UpstreamFields;
 use crate::gateway::message_fields::part_list;
+use crate::gateway::peers;
+use crate::gateway::peers::Payload;
 use crate::platform::headers;
 use crate::telemetry::events;
 
@@ -191,6 +193,9 @@
     };
     let outcome = headers::parse_response(response.headers());
     record_response(gateway, call, chosen, &outcome, response.status(), now_ms - started_ms);
+    if outcome.leaving && is_from_worker(call, &outcome, response.status()) {
+        record_leaving(gateway, &chosen.id);
+    }
     let status = response.status();
     if outcome.not_executed || status == StatusCode::MISDIRECTED_REQUEST {
         count_send(gateway, call, attempts, chosen, NOT_EXECUTED);
@@ -301,6 +306,25 @@
     log_send_failed(gateway, call, chosen, "unreachable", detail);
 }
 
+/// Returns whether a response is surely of the worker that the request was sent to: after an address is given
+/// to another worker, that one responds with 421.
+fn is_from_worker(call: &Call, outcome: &ResponseFields, status: StatusCode) -> bool {
+    outcome.id.as_deref() == call.fields.id.as_deref() && status != StatusCode::MISDIRECTED_REQUEST
+}
+
+/// Records that a worker has said that it leaves, and tells the other instances of the failure domain.
+fn record_leaving(gateway: &Gateway, id: &str) {
+    let mut directory = gateway.directory.borrow_mut();
+    let Some(worker) = directory.get_mut(id).filter(|worker| !worker.said_leaving) else { return };
+    worker.said_leaving = true;
+    let process = worker.process;
+    let line = gateway.log.line(events::WORKER_SAID_LEAVING, Severity::Notable);
+    line.text("worker", id).text("service", &worker.record.service).emit();
+    drop(directory);
+    peers::driver::send_to_domain(gateway, Payload::WorkerLeaving(process));
+    gateway.state_changed.notify_waiters();
+}
+
 fn record_response(
     gateway: &Gateway,
     call: &Call,
--- a/lovageridge/src/gateway/crashes/driver.rs
+++ b/lovageridge/src/gateway/crashes/driver.rs
@@ -99,7 +99,7 @@
     let addr = {
         let directory = gateway.directory.borrow();
         // Workers that leave end the streams that they still have.
-        let worker = directory.get(worker_id).filter(|worker| !worker.record.leaving);
+        let worker = directory.get(worker_id).filter(|worker| !worker.is_leaving());
         let Some(worker) = worker else { return };
         worker.record.addr
     };
@@ -118,7 +118,7 @@
 pub async fn has_crashed(gateway: &Gateway, worker_id: &str) -> bool {
     let addr = {
         let directory = gateway.directory.borrow();
-        let worker = directory.get(worker_id).filter(|worker| !worker.record.leaving);
+        let worker = directory.get(worker_id).filter(|worker| !worker.is_leaving());
         worker.map(|worker| worker.record.addr)
     };
     match addr {
--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -123,6 +123,8 @@
     pub key: u64,
     /// Hash of its id and start time.
     pub process: u64,
+    /// Whether it has said in a response that it is shutting down; holds until it starts again.
+    pub said_leaving: bool,
     /// Limit that it states on the rate of its requests.
     pub limit: KnownLimit,
     /// Time until which it gets no requests because of its limit, in ms.
@@ -173,6 +175,7 @@
             let id = record.id.clone();
             let mut worker = Worker::new(record, now_ms);
             worker.limit = self.detached_limits.take(worker.key);
+            worker.said_leaving = self.departed.was_leaving(&worker.record, now_ms);
             self.workers.insert(id, worker);
             return Change::Joined;
         };
@@ -302,6 +305,14 @@
         }
     }
 
+    /// Records that the worker with this hash of its id and start time has said that it is shutting down.
+    pub fn on_said_leaving(&mut self, process: u64) {
+        let workers = self.workers.iter_mut().map(|(_, worker)| worker);
+        if let Some(worker) = workers.into_iter().find(|worker| worker.process == process) {
+            worker.said_leaving = true;
+        }
+    }
+
     /// Returns the worker with `id`, if it is known.
     pub fn get(&self, id: &str) -> Option<&Worker> {
         self.workers.get(id)
@@ -370,6 +381,7 @@
             health: Health::default(),
             key: hashing::stable_hash(&[&record.id]),
             process: hashing::stable_hash(&[&record.id, &record.start_unix_ms.to_string()]),
+            said_leaving: false,
             limit: KnownLimit::default(),
             limited_until_ms: 0,
             limit_told_ms: 0,
@@ -391,9 +403,14 @@
         now_ms < self.limited_until_ms && self.limit.per_ks(now_ms).is_some()
     }
 
+    /// Returns whether it is shutting down, by its record or by its responses.
+    pub fn is_leaving(&self) -> bool {
+        self.record.leaving || self.said_leaving
+    }
+
     /// Returns whether new requests may be sent to the worker.
     pub fn accepts_new_requests(&self, now_ms: u64) -> bool {
-        !self.record.leaving && !self.has_expired(now_ms)
+        !self.is_leaving() && !self.has_expired(now_ms)
     }
 
     /// Returns the models that it holds: those of the lead's view, or those of the worker's record
--- a/lovageridge/src/gateway/directory/departed.rs
+++ b/lovageridge/src/gateway/directory/departed.rs
@@ -1,4 +1,5 @@
-//! Workers that were removed, so that older records of them that a restored store holds are recognized.
+//! Workers that were removed, so that older records of them that a restored store holds are recognized, and
+//! that a worker which has said that it leaves stays unused if its record comes back.
 
 use crate::gateway::directory::Worker;
 use crate::gateway::directory::WorkerRecord;
@@ -36,12 +37,21 @@
         let departure = Departure {
             start_unix_ms: worker.record.start_unix_ms,
             sequence: worker.record.sequence,
-            leaving: worker.record.leaving,
+            leaving: worker.is_leaving(),
             removed_ms: now_ms,
         };
         self.workers.insert(worker.record.id.clone(), departure);
     }
 
+    /// Returns whether the worker of `record` was leaving when it was removed, and has not started again.
+    pub fn was_leaving(&self, record: &WorkerRecord, now_ms: u64) -> bool {
+        self.workers.get(record.id.as_str()).is_some_and(|departure| {
+            departure.leaving
+                && departure.start_unix_ms == record.start_unix_ms
+                && now_ms < departure.removed_ms + RETENTION_MS
+        })
+    }
+
     /// Returns whether `record` was written before the worker's removal.
     pub fn is_outdated(&self, record: &WorkerRecord, now_ms: u64) -> bool {
         let Some(departure) = self.workers.get(record.id.as_str()) else { return false };
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -267,6 +267,8 @@
         /// Whether the receiver should reply with its own digest if it differs.
         reply_requested: bool,
     },
+    /// A worker has said that it is shutting down; hash of its id and start time.
+    WorkerLeaving(u64),
     /// Limit that a worker has stated.
     Limit(LimitReport),
     /// Request for a send to a worker that limits them.
--- a/lovageridge/src/gateway/peers/driver.rs
+++ b/lovageridge/src/gateway/peers/driver.rs
@@ -172,6 +172,10 @@
                 sync::apply_config_update(&gateway, update).await;
             });
         }
+        Payload::WorkerLeaving(process) => {
+            gateway.directory.borrow_mut().on_said_leaving(process);
+            gateway.state_changed.notify_waiters();
+        }
         Payload::Limit(report) => limits::driver::on_report(gateway, &report),
         Payload::Limits(reports) => {
             reports.iter().for_each(|report| limits::driver::on_report(gateway, report));
@@ -464,7 +468,8 @@
     }
 }
 
-fn send_to_domain(gateway: &Gateway, payload: Payload) {
+/// Sends a message with `payload` to the other instances of the failure domain.
+pub fn send_to_domain(gateway: &Gateway, payload: Payload) {
     let now_ms = gateway.now_ms();
     let Some(bytes) = codec::encode(gateway, "message", &build_message(gateway, payload)) else {
         return;
--- a/lovageridge/src/gateway/serve.rs
+++ b/lovageridge/src/gateway/serve.rs
@@ -250,7 +250,7 @@
 fn pick_service(route: &Route, catalog: &Catalog, gateway: &Gateway) -> String {
     let directory = gateway.directory.borrow();
     let has_worker = |service: &str| {
-        directory.iter().any(|worker| worker.record.service == service && !worker.record.leaving)
+        directory.iter().any(|worker| worker.record.service == service && !worker.is_leaving())
     };
     let known =
         route.targets.iter().filter(|(service, _)| catalog.services.contains(service.as_str()));
--- a/lovageridge/src/platform/headers.rs
+++ b/lovageridge/src/platform/headers.rs
@@ -22,6 +22,7 @@
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-lovageridge-not-executed");
 const RECEIPT: HeaderName = HeaderName::from_static("x-lovageridge-server-seal");
 const LIMIT: HeaderName = HeaderName::from_static("server-limit");
+const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const LOAD: HeaderName = HeaderName::from_static("x-lovageridge-server-load");
 
 /// Largest number of prompt parts that are used; longer lists are cut.
@@ -132,6 +133,7 @@
         has_receipt: headers.contains_key(RECEIPT),
         encoded: headers.contains_key(hyper::header::CONTENT_ENCODING),
         load: text(&LOAD).and_then(parse_load),
+        leaving: text(&LEAVING).is_some_and(|value| value.trim() == "1"),
         limit: headers.get(&LIMIT).map_or(StatedLimit::None, parse_limit),
         idle_timeout_ms: text(&HeaderName::from_static("keep-alive")).and_then(parse_keep_alive_ms),
         closes_connection: text(&hyper::header::CONNECTION)
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -148,4 +148,6 @@
     CONFIG_BEHIND = 736 "config_behind";
     /// The store has come back from an older copy of itself.
     STORE_RESTORED = 737 "store_restored";
+    /// A worker has said in a response that it is shutting down.
+    WORKER_SAID_LEAVING = 738 "worker_said_leaving";
 }
--- a/lovageridge/tests/gateway.rs
+++ b/lovageridge/tests/gateway.rs
@@ -20,6 +20,8 @@
 mod settings;
 #[path = "gateway/store.rs"]
 mod store;
+#[path = "gateway/withdrawn.rs"]
+mod withdrawn;
 
 use std::path::PathBuf;
 
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -132,6 +132,8 @@
     crash: Option<Crash>,
     // Value of the header that limits the requests a second, if any.
     limit: Option<String>,
+    // Further headers of all responses.
+    headers: Vec<(String, String)>,
     arrivals: Vec<Instant>,
     born_ms: u64,
     resident_models: Vec<String>,
@@ -227,6 +229,13 @@
         self.shared.lock().limit = limit.map(str::to_owned);
     }
 
+    /// Sends a header with all responses from now on; `None` ends that.
+    pub fn set_header(&self, name: &str, value: Option<&str>) {
+        let mut state = self.shared.lock();
+        state.headers.retain(|(known, _)| known != name);
+        state.headers.extend(value.map(|value| (name.to_owned(), value.to_owned())));
+    }
+
     /// Returns when requests arrived, in order, including refused ones.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.shared.lock().arrivals.clone()
@@ -359,9 +368,11 @@
         state.runs.len() - 1
     }
 
-    fn limit_header(&self) -> String {
-        let limit = self.lock().limit.clone();
-        limit.map(|limit| format!("Server-Limit: {limit}\r\n")).unwrap_or_default()
+    fn further_headers(&self) -> String {
+        let state = self.lock();
+        let limit = state.limit.iter().map(|limit| format!("Server-Limit: {limit}\r\n"));
+        let others = state.headers.iter().map(|(name, value)| format!("{name}: {value}\r\n"));
+        limit.chain(others).collect()
     }
 
     fn response_head(&self, request: &Request, status: &str, behavior: Behavior) -> String {
@@ -371,8 +382,8 @@
             Behavior::MissingReceipt => String::new(),
             _ => format!("X-Lovageridge-Server-Seal: seal-{}\r\n", self.id),
         };
-        let limit = self.limit_header();
-        format!("HTTP/1.1 {status}\r\nX-Lovageridge-Attempt-Id: {id}\r\n{receipt}{limit}")
+        let others = self.further_headers();
+        format!("HTTP/1.1 {status}\r\nX-Lovageridge-Attempt-Id: {id}\r\n{receipt}{others}")
     }
 
     /// Runs a plain call; returns `None` when the caller disconnected, else whether the connection
@@ -517,7 +528,7 @@
             "HTTP/1.1 {status}\r\nX-Lovageridge-Attempt-Id: {id}\r\nX-Lovageridge-Not-Executed: 1\r\n\
              X-Lovageridge-Instance-Id: {}\r\n{}Content-Length: 0\r\n\r\n",
             self.id,
-            self.limit_header()
+            self.further_headers()
         );
         stream.write_all(text.as_bytes()).is_ok()
     }
