--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -326,8 +326,8 @@
     pub config_era: u64,
     /// How far the sender has read the store.
     pub progress: Progress,
-    /// Worker records as stored, by worker id; `None` if they were not asked for.
-    pub workers: Option<Vec<(String, Vec<u8>)>>,
+    /// Worker records as stored, by worker id, in compressed form; `None` if they were not asked for.
+    pub workers: Option<Delta>,
 }
 
 /// What is known about another instance.
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -4,6 +4,7 @@
 //! reach the store nor receive from such a reader fetches the records from a peer that is ahead (see
 //! `transfer`). The configuration travels between instances in compressed form.
 
+use std::fmt::Display;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -13,6 +14,7 @@
 
 use crate::gateway::Gateway;
 use crate::gateway::catalog::Catalog;
+use crate::gateway::codec;
 use crate::gateway::connection::CallResponse;
 use crate::gateway::connection::HttpClient;
 use crate::gateway::crashes;
@@ -533,18 +535,29 @@
 ) -> Snapshot {
     let store = gateway.store.borrow();
     let config = store.config.as_ref().filter(|config| known_config != Some(config.id));
-    let config = config.and_then(|config| match config.since(known_config) {
-        Ok(delta) => Some(delta.clone()),
+    let config = config.and_then(|config| {
+        compressed(gateway, "configuration", config.since(known_config).cloned())
+    });
+    let workers = with_workers.then(|| {
+        let workers = store.workers.iter().map(|(id, bytes)| (id.as_str(), bytes.as_slice()));
+        let bytes = codec::encode(gateway, "records", &workers.collect::<Vec<_>>())?;
+        compressed(gateway, "records", Delta::new(None, &bytes))
+    });
+    let workers = workers.flatten();
+    let config_era = store.config.as_ref().map_or(0, |config| config.era);
+    Snapshot { config, config_era, progress: store.progress, workers }
+}
+
+/// Returns the compressed document; a failure is logged with `what`, and `None` is returned.
+fn compressed(gateway: &Gateway, what: &str, delta: Result<Delta, delta::Error>) -> Option<Delta> {
+    match delta {
+        Ok(delta) => Some(delta),
         Err(error) => {
             let line = gateway.log.line(events::ENCODE_FAILED, Severity::Notable);
-            line.text("what", "configuration").text("reason", error).emit();
+            line.text("what", what).text("reason", error).emit();
             None
         }
-    });
-    let workers = store.workers.iter().map(|(id, bytes)| (id.clone(), bytes.clone()));
-    let workers = with_workers.then(|| workers.collect());
-    let config_era = store.config.as_ref().map_or(0, |config| config.era);
-    Snapshot { config, config_era, progress: store.progress, workers }
+    }
 }
 
 /// Applies what is newer in a snapshot than here.
@@ -554,7 +567,7 @@
             Ok(document) => {
                 apply_config(gateway, document, snapshot.config_era, SOURCE_SNAPSHOT).await;
             }
-            Err(error) => return log_skipped_document(gateway, &error),
+            Err(error) => return log_skipped_document(gateway, Topic::Operator, &error),
         }
     }
     // The offsets and the workers' records of another era say nothing about this one.
@@ -562,14 +575,19 @@
         return;
     }
     gateway.store.borrow_mut().advance_if_newer(Topic::Operator, snapshot.progress.operator_end);
-    if let Some(workers) = &snapshot.workers {
-        apply_worker_snapshot(gateway, workers, snapshot.progress.workers_end);
+    let Some(workers) = &snapshot.workers else { return };
+    let workers = workers.restore(&[]).map_err(|error| error.to_string()).and_then(|bytes| {
+        postcard::from_bytes::<Vec<(String, Vec<u8>)>>(&bytes).map_err(|error| error.to_string())
+    });
+    match workers {
+        Ok(workers) => apply_worker_snapshot(gateway, &workers, snapshot.progress.workers_end),
+        Err(error) => log_skipped_document(gateway, Topic::Workers, &error),
     }
 }
 
-fn log_skipped_document(gateway: &Gateway, error: &delta::Error) {
+fn log_skipped_document(gateway: &Gateway, topic: Topic, error: &impl Display) {
     let line = gateway.log.line(events::RECORD_SKIPPED, Severity::Routine);
-    line.text("topic", Topic::Operator.name()).text("key", "config").text("reason", error).emit();
+    line.text("topic", topic.name()).text("key", "").text("reason", error).emit();
 }
 
 fn apply_worker_snapshot(gateway: &Gateway, workers: &[(String, Vec<u8>)], workers_end: u64) {
