--- a/lovageridge/src/gateway/sync/tests.rs
+++ b/lovageridge/src/gateway/sync/tests.rs
@@ -11,11 +11,13 @@
 use crate::gateway::peers::Message;
 use crate::gateway::peers::Payload;
 use crate::gateway::peers::Peers;
+use crate::gateway::peers::Progress;
 use crate::gateway::peers::Rank;
 use crate::gateway::sync::CALL_TIMEOUT;
 use crate::gateway::sync::FAST_RETRIES;
 use crate::gateway::sync::RETRY_MS;
 use crate::gateway::sync::SLOW_RETRY_MS;
+use crate::gateway::sync::view::EraChange;
 use crate::gateway::sync::view::ReadStep;
 use crate::gateway::sync::view::StoreView;
 use crate::gateway::sync::view::Topic;
@@ -422,3 +424,36 @@
         domain.nodes.iter().all(|node| node.view.progress.workers_end == domain.end_offsets[1])
     );
 }
+
+/// Guards against cursors that stay where they were after a restore of the store from a copy, and against
+/// responses from before it (CONFIG).
+#[test]
+fn a_restore_voids_all_offsets_but_not_the_version_in_force() {
+    let mut view = StoreView::default();
+    assert_eq!(view.on_era(3, 100), EraChange::None, "nothing was read before");
+    for topic in TOPICS {
+        view.on_answer(topic, 100);
+        view.advance(topic, 40);
+    }
+    view.progress.config_version = 7;
+    assert_eq!(view.on_era(3, 200), EraChange::None);
+    assert_eq!(view.on_era(4, 300), EraChange::Restored);
+    assert_eq!(view.on_era(3, 310), EraChange::Outdated);
+    assert_eq!(view.on_era(4, 320), EraChange::None);
+    assert_eq!(view.progress, Progress { era: 4, config_version: 7, ..Progress::default() });
+    for topic in TOPICS {
+        assert_eq!(view.step(topic, None, false, 330), ReadStep::ReadNewest);
+    }
+    assert!(view.keep_removed_until_ms(340).is_some(), "workers write their records again");
+    // A second restore in the midst of the first.
+    assert_eq!(view.on_era(6, 400), EraChange::Restored);
+}
+
+#[test]
+fn an_earlier_era_is_behind_a_later_one_at_any_offset() {
+    let progress =
+        |era, end| Progress { era, config_version: 1, operator_end: end, workers_end: end };
+    assert!(progress(1, 900).is_behind(&progress(2, 3)));
+    assert!(!progress(2, 3).is_behind(&progress(1, 900)));
+    assert!(progress(2, 3).is_behind(&progress(2, 4)));
+}
--- a/lovageridge/src/gateway/sync/view.rs
+++ b/lovageridge/src/gateway/sync/view.rs
@@ -242,8 +242,7 @@
             Ordering::Equal => EraChange::None,
             Ordering::Less => EraChange::Outdated,
             Ordering::Greater => {
-                let has_read = self.operator_state.next_offset.is_some()
-                    || self.workers_state.next_offset.is_some();
+                let has_read = self.last_answer_ms.is_some();
                 let config_version = self.progress.config_version;
                 self.progress = Progress { era, config_version, ..Progress::default() };
                 for topic in [Topic::Operator, Topic::Workers] {
