--- a/lovageridge/src/gateway/lead/tests.rs
+++ b/lovageridge/src/gateway/lead/tests.rs
@@ -298,3 +298,52 @@
     }
     panic!("no claim within {} ms", RENEWAL_VALID_MS + 2000);
 }
+
+/// Guards against fencing numbers that fall or repeat after a restore of the store from a copy (ONE).
+#[test]
+fn a_lead_claims_anew_after_a_restore_and_gets_a_higher_fence() {
+    let mut election = Election::new("n1", 1, LEASE_MS, 0);
+    election.on_era(1, 900);
+    election.on_read(0, &[], 1000);
+    let Step::Append { record, .. } = election.step(true, None, 1010) else { panic!("no claim") };
+    election.on_appended(&record, 0, 1010, 1020);
+    let before = election.fence().expect("the lead");
+    election.on_era(2, 5000);
+    assert_eq!(election.fence(), None);
+    assert_eq!(election.step(true, None, 5010), Step::Read { from_offset: 0 });
+    election.on_read(0, &[], 5020);
+    let Step::Append { record, .. } = election.step(true, None, 5030) else { panic!("no claim") };
+    election.on_appended(&record, 0, 5030, 5040);
+    assert!(election.fence().is_some_and(|fence| fence > before));
+    // A response from before the restore changes nothing.
+    election.on_era(1, 5050);
+    assert!(election.fence().is_some());
+}
+
+/// Guards against a claim beside a lead that has not noticed the restore yet, and against the use of an append
+/// that met its condition in another log than the one that was read (ONE).
+#[test]
+fn others_leave_the_lead_time_to_claim_anew_after_a_restore() {
+    let mut election = Election::new("n2", 1, LEASE_MS, 0);
+    let other =
+        LeadRecord { instance_id: "n1".to_owned(), incarnation: 1, fence: None, released: false };
+    election.on_era(1, 900);
+    election.on_read(1, &[(0, other)], 1000);
+    election.on_era(2, 5000);
+    election.on_read(0, &[], 5010);
+    for now_ms in 5020..6200 {
+        assert!(!matches!(election.step(true, None, now_ms), Step::Append { .. }), "at {now_ms}");
+        if let Step::Read { .. } = election.step(true, None, now_ms) {
+            election.on_read(0, &[], now_ms);
+        }
+    }
+    let mut lead = Election::new("n1", 1, LEASE_MS, 0);
+    lead.on_read(0, &[], 1000);
+    let Step::Append { record, .. } = lead.step(true, None, 1010) else { panic!("no claim") };
+    lead.on_appended(&record, 0, 1010, 1020);
+    lead.on_era(1, 2000);
+    lead.on_appended_in_other_era(2000);
+    assert_eq!(lead.fence(), None);
+    lead.on_read(0, &[], 2010);
+    assert!(!matches!(lead.step(true, None, 2020), Step::Append { .. }));
+}
--- a/lovageridge/src/platform/tests.rs
+++ b/lovageridge/src/platform/tests.rs
@@ -225,3 +225,27 @@
     headers.insert("x-lovageridge-prompt-prefix", value);
     assert_eq!(headers::parse_request(&headers).prompt_parts.len(), expected);
 }
+
+#[test_case("7" => Some(7); "number")]
+#[test_case(" 7 " => Some(7); "spaces")]
+#[test_case("-1" => None; "negative")]
+#[test_case("new" => None; "text")]
+#[test_case("99999999999" => None; "too large for a fencing number")]
+fn the_era_of_a_store_is_a_small_number(text: &'static str) -> Option<u64> {
+    let mut headers = HeaderMap::new();
+    headers.insert("Store-Era", HeaderValue::from_static(text));
+    store::era(&headers)
+}
+
+#[test_case("2" => Some(2000); "seconds")]
+#[test_case("0.0015" => Some(2); "fraction")]
+#[test_case("1e99" => Some(86_400_000); "huge")]
+#[test_case("inf" => Some(86_400_000); "infinite")]
+#[test_case("-3" => None; "negative")]
+#[test_case("NaN" => None; "not a number")]
+#[test_case("Sat, 05 Dec 2026 09:00:00 GMT" => None; "date")]
+fn a_worker_names_a_time_in_seconds(text: &'static str) -> Option<u64> {
+    let mut headers = HeaderMap::new();
+    headers.insert("Retry-After", HeaderValue::from_static(text));
+    headers::parse_response(&headers).retry_after_ms
+}
--- a/lovageridge/tests/gateway/crashes.rs
+++ b/lovageridge/tests/gateway/crashes.rs
@@ -223,6 +223,30 @@
     incident.deployment.close();
 }
 
+/// Guards against a blocked part that is forgotten with the store's last records: instances that start later
+/// would learn of it by crashes (BUDGET).
+#[test]
+fn a_blocked_part_is_written_again_after_a_restore() {
+    let mut incident = Incident::new(3);
+    let copy = incident.deployment.store.copy();
+    incident.send_until_blocked(&[0, 1, 2]);
+    let stored = || incident.deployment.store.end_offset("keyed.crashes") > 0;
+    assert!(wait_for(stored), "the blocked part is not in the store");
+    incident.deployment.store.restore(&copy);
+    assert!(wait_for(stored), "the blocked part is not in the store after the restore");
+    for instance in &mut incident.deployment.instances {
+        instance.process.kill();
+    }
+    let before = incident.bad_runs().len();
+    for at in 0..3 {
+        incident.deployment.restart(at).expect("an instance");
+    }
+    assert!(wait_for(|| incident.deployment.instances.iter().all(|one| one.is_ready())));
+    assert!(wait_for(|| (0..3).all(|at| incident.blocks(at))), "the part is forgotten");
+    assert_eq!(incident.bad_runs().len(), before);
+    incident.deployment.close();
+}
+
 /// Guards against a part that stays blocked although it no longer crashes workers.
 #[test]
 fn a_part_that_no_longer_crashes_workers_is_unblocked_by_one_probe() {
--- a/lovageridge/tests/gateway/restores.rs
+++ b/lovageridge/tests/gateway/restores.rs
@@ -8,6 +8,7 @@
 use standins::platform::deployment::config;
 use standins::platform::deployment::engine_worker;
 use standins::platform::deployment::plain_worker;
+use standins::platform::deployment::route;
 use standins::platform::deployment::wait_for;
 
 use crate::deployment;
@@ -55,6 +56,26 @@
     deployment.close();
 }
 
+/// Guards against a document that is ignored since another one of its version was lost with a restore (CONFIG).
+#[test]
+fn another_document_of_the_same_version_comes_into_force_after_a_restore() {
+    let deployment = small_deployment(3);
+    let copy = deployment.store.copy();
+    deployment.store.put("keyed.op", "config", &config(2, &json!({})));
+    let version = |at: usize| deployment.instances[at].metric("gateway_config_version ");
+    assert!(wait_for(|| (0..3).all(|at| version(at) == Some(2.0))));
+    deployment.store.restore(&copy);
+    let routes = json!([route("new", "idempotent", "plain", false)]);
+    deployment.store.put("keyed.op", "config", &config(2, &json!({"Routes": routes})));
+    thread::sleep(IN_FORCE);
+    for instance in &deployment.instances {
+        let ask = |path: &str| CallerRequest::get(path, "id1").send(instance.callers_addr);
+        assert_eq!(ask("/new/1").expect("a response").status_code, 200);
+        assert_eq!(ask("/look/1").expect("a response").status_code, 404);
+    }
+    deployment.close();
+}
+
 /// Guards against a lead that gets a fencing number which another one had before the restore (ONE).
 #[test]
 fn a_lead_after_a_restore_has_a_higher_fencing_number() {
