--- a/lovageridge/src/gateway/connection.rs
+++ b/lovageridge/src/gateway/connection.rs
@@ -205,9 +205,8 @@
             head: call_timeout,
             progress: call_timeout,
             total: call_timeout,
-            on_progress: &|| {},
         };
-        self.exchange(request, limits).await
+        self.exchange(request, &limits, || {}).await
     }
 
     /// Reads `path`, however long the response takes while it keeps arriving: `head_timeout` bounds the
@@ -228,19 +227,23 @@
             head: head_timeout,
             progress: PROGRESS_TIMEOUT,
             total: head_timeout + TRANSFER_MAX,
-            on_progress: &on_progress,
         };
-        self.exchange(request, limits).await
+        self.exchange(request, &limits, on_progress).await
     }
 
     async fn exchange(
         &mut self,
         request: Request<SendBody>,
-        limits: ResponseLimits<'_>,
+        limits: &ResponseLimits,
+        on_progress: impl Fn(),
     ) -> Result<CallResponse, Error> {
         let reused = self.sender.take();
         let received_bytes = Cell::new(0);
-        let calling = exchange(self.addr, reused, request, &limits, &received_bytes);
+        let on_progress = |bytes: usize| {
+            received_bytes.set(bytes);
+            on_progress();
+        };
+        let calling = exchange(self.addr, reused, request, limits, on_progress);
         let (response, sender) = match timeout(limits.total, calling).await {
             Ok(result) => result?,
             Err(_) => return Err(timed_out(received_bytes.get())),
@@ -268,7 +271,7 @@
 }
 
 /// Limits of a response.
-struct ResponseLimits<'a> {
+struct ResponseLimits {
     body_max_bytes: usize,
     // Time to connect, and time from the request to the head of the response.
     head: Duration,
@@ -276,8 +279,6 @@
     progress: Duration,
     // Longest time of the whole call.
     total: Duration,
-    // Called whenever the head of a successful response or a part of its body has arrived.
-    on_progress: &'a dyn Fn(),
 }
 
 fn timed_out(received_bytes: usize) -> Error {
@@ -288,8 +289,8 @@
     addr: SocketAddr,
     reused: Option<SendRequest<SendBody>>,
     mut request: Request<SendBody>,
-    limits: &ResponseLimits<'_>,
-    received_bytes: &Cell<usize>,
+    limits: &ResponseLimits,
+    on_progress: impl Fn(usize),
 ) -> Result<(CallResponse, SendRequest<SendBody>), Error> {
     let mut sender = match reused {
         Some(sender) if sender.is_ready() => sender,
@@ -306,19 +307,22 @@
     };
     let status_code = response.status().as_u16();
     let headers = response.headers().clone();
-    let limits = match response.status() {
-        StatusCode::OK => limits,
-        _ => &ResponseLimits { on_progress: &|| {}, ..*limits },
+    let is_success = response.status() == StatusCode::OK;
+    let on_progress = |bytes: usize| {
+        if is_success {
+            on_progress(bytes);
+        }
     };
-    (limits.on_progress)();
-    let body = read_body(response.into_body(), limits, received_bytes).await?;
+    on_progress(0);
+    let body = read_body(response.into_body(), limits, on_progress).await?;
     Ok((CallResponse { status_code, headers, body }, sender))
 }
 
+/// Reads a body; `on_progress` is called with the number of bytes so far whenever a part has arrived.
 async fn read_body(
     body: Incoming,
-    limits: &ResponseLimits<'_>,
-    received_bytes: &Cell<usize>,
+    limits: &ResponseLimits,
+    on_progress: impl Fn(usize),
 ) -> Result<Bytes, Error> {
     let expected_bytes = body.size_hint().exact().unwrap_or(0).min(limits.body_max_bytes as u64);
     let mut body = Limited::new(body, limits.body_max_bytes);
@@ -331,8 +335,7 @@
         let frame = frame.map_err(|error| Error::NoAnswer(error.to_string()))?;
         if let Some(data) = frame.data_ref() {
             bytes.extend_from_slice(data);
-            received_bytes.set(bytes.len());
-            (limits.on_progress)();
+            on_progress(bytes.len());
         }
     }
 }
