--- a/lovageridge/tests/gateway/restores.rs
+++ b/lovageridge/tests/gateway/restores.rs
@@ -10,6 +10,7 @@
 use standins::platform::deployment::plain_worker;
 use standins::platform::deployment::route;
 use standins::platform::deployment::wait_for;
+use test_case::test_case;
 
 use crate::deployment;
 use crate::small_deployment;
@@ -109,14 +110,17 @@
 }
 
 /// Guards against a worker that comes back into use, since the copy still says that it is ready (DRAIN).
-#[test]
-fn a_worker_that_left_in_the_lost_time_gets_no_requests() {
+#[test_case(true; "after it said that it leaves")]
+#[test_case(false; "without a word")]
+fn a_worker_that_left_in_the_lost_time_gets_no_requests(says_leaving: bool) {
     let deployment = deployment(vec![("p0", plain_worker(5)), ("p1", plain_worker(5))], 1);
     let to = deployment.instances[0].callers_addr;
     let ask = |id: &str| CallerRequest::get("/look/1", id).send(to).expect("a response");
     let copy = deployment.store.copy();
-    deployment.announce(deployment.worker("p1"), "draining");
-    thread::sleep(Duration::from_millis(1500));
+    if says_leaving {
+        deployment.announce(deployment.worker("p1"), "draining");
+        thread::sleep(Duration::from_millis(1500));
+    }
     deployment.store.put("keyed.servers", "p1", b"");
     thread::sleep(Duration::from_millis(1500));
     deployment.store.restore(&copy);
