Use no response to a call that was sent before a restore became known

What callers would see: requests to workers that have left, or an old configuration, after a restore of the store. Only the first response of a new era was discarded. Reads that had waited on the other topic were answered in the new era too, with records from an offset that points into another log; those before it were never read. The same holds for claims and for the crash ledger, whose conditions were those of the log before. Calls now compare the era before and after them, whoever told of it. reads_that_wait_during_a_restore_skip_no_records was red before (19 of 20 requests at a worker that had left) and is green.

--- a/lovageridge/src/gateway/crashes/persist.rs
+++ b/lovageridge/src/gateway/crashes/persist.rs
@@ -57,14 +57,14 @@
     }
     tracker.next_claim_ms.set(now_ms + CLAIM_RETRY_MS);
     let mut client = HttpClient::new(gateway.settings().store_addr);
-    let Ok(end_offset) = read_store(gateway, &mut client).await else { return false };
+    let Ok(log_end) = read_store(gateway, &mut client).await else { return false };
     // Another instance may have claimed it, or the part may no longer be blocked.
     if !is_due() || tracker.ledger.borrow().blocked_among(&[part]).is_empty() {
         return false;
     }
     let now_ms = gateway.now_ms();
     tracker.ledger.borrow_mut().start_probe(part, now_ms);
-    if write_store(gateway, &mut client, end_offset).await != StoreOutcome::Done {
+    if write_store(gateway, &mut client, log_end).await != StoreOutcome::Done {
         return false;
     }
     tracker.next_claim_ms.set(0);
@@ -79,6 +79,13 @@
     gateway.crashes.store_due.notify_one();
 }
 
+/// End of the topic when it was read.
+#[derive(Clone, Copy, Debug)]
+struct LogEnd {
+    era: u64,
+    offset: u64,
+}
+
 /// Result of bringing the record up to date.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StoreOutcome {
@@ -146,7 +153,7 @@
 ) -> StoreOutcome {
     gateway.crashes.is_read_due.set(false);
     let before = gateway.crashes.ledger.borrow().blocked().to_vec();
-    let Ok(end_offset) = read_store(gateway, client).await else {
+    let Ok(log_end) = read_store(gateway, client).await else {
         gateway.crashes.is_read_due.set(true);
         client.close();
         return StoreOutcome::Failed;
@@ -159,7 +166,7 @@
     if !is_write_due(gateway, times, now_ms) {
         return StoreOutcome::Done;
     }
-    let result = write_store(gateway, client, end_offset).await;
+    let result = write_store(gateway, client, log_end).await;
     if result == StoreOutcome::Done {
         times.crashes_write_at_ms = now_ms + CRASHES_WRITE_INTERVAL_MS;
     }
@@ -206,8 +213,8 @@
     writes && tracker.ledger.borrow().has_news_for(&tracker.stored_crashes.borrow())
 }
 
-/// Reads the record of the ledger and merges it; returns the end offset of the topic.
-async fn read_store(gateway: &Gateway, client: &mut HttpClient) -> Result<u64, ()> {
+/// Reads the record of the ledger and merges it; returns the end of the topic.
+async fn read_store(gateway: &Gateway, client: &mut HttpClient) -> Result<LogEnd, ()> {
     let path = store::newest_path(store::CRASHES_TOPIC, None);
     let call = client.call(Method::GET, &path, HeaderMap::new(), Bytes::new(), STORE_TIMEOUT);
     let response = call.await;
@@ -224,6 +231,7 @@
             return Err(());
         }
     };
+    let era = gateway.store.borrow().progress.era;
     let Ok(page) = page else {
         count_call(gateway, "crashes", "malformed");
         return Err(());
@@ -242,7 +250,7 @@
         }
     }
     set_stored(gateway, &stored_ledger);
-    Ok(page.end_offset)
+    Ok(LogEnd { era, offset: page.end_offset })
 }
 
 /// Records what the store holds.
@@ -251,8 +259,8 @@
     gateway.crashes.stored_crashes.replace(stored.crash_states());
 }
 
-/// Writes the ledger to the store if nothing was written there since it was read up to `end_offset`.
-async fn write_store(gateway: &Gateway, client: &mut HttpClient, end_offset: u64) -> StoreOutcome {
+/// Writes the ledger to the store if nothing was written there since it was read up to `log_end`.
+async fn write_store(gateway: &Gateway, client: &mut HttpClient, log_end: LogEnd) -> StoreOutcome {
     let written = gateway.crashes.ledger.borrow().clone();
     let reports = written.reports(gateway.now_ms());
     let value = StoredReports { written_unix_ms: unix_ms(), reports };
@@ -260,11 +268,14 @@
         return StoreOutcome::Failed;
     };
     let body = Bytes::from(store::frame_keyed(store::CRASHES_KEY, &value));
-    let path = store::append_path(store::CRASHES_TOPIC, Some(end_offset));
+    let path = store::append_path(store::CRASHES_TOPIC, Some(log_end.offset));
     let call = client.call(Method::POST, &path, HeaderMap::new(), body, STORE_TIMEOUT);
     let (result, label) = match call.await {
         // The record was written to another log than the one that was read.
-        Ok(response) if sync::check_era(gateway, &response).is_err() => {
+        Ok(response)
+            if sync::check_era(gateway, &response).is_err()
+                || sync::check_era_since(gateway, log_end.era).is_err() =>
+        {
             (StoreOutcome::Contended, "other_era")
         }
         Ok(response) if response.status_code == 200 => (StoreOutcome::Done, "ok"),
--- a/lovageridge/src/gateway/lead/driver.rs
+++ b/lovageridge/src/gateway/lead/driver.rs
@@ -52,12 +52,14 @@
 
 async fn read(gateway: &Gateway, client: &mut HttpClient, from_offset: u64) {
     let path = store::read_path(store::LEAD_TOPIC, from_offset, 0);
+    let era = gateway.store.borrow().progress.era;
     let call = client.call(Method::GET, &path, HeaderMap::new(), Bytes::new(), CALL_TIMEOUT);
     let response = match call.await {
         Ok(response) => response,
         Err(error) => return record_failure(gateway, "claims", "no_answer", &error.to_string()),
     };
-    if let Err(reason) = sync::check_era(gateway, &response) {
+    let checked = sync::check_era(gateway, &response);
+    if let Err(reason) = checked.and_then(|()| sync::check_era_since(gateway, era)) {
         return record_failure(gateway, "claims", "other_era", &reason);
     }
     let now_ms = gateway.now_ms();
@@ -101,6 +103,7 @@
 
 async fn append(gateway: &Gateway, client: &mut HttpClient, record: &LeadRecord, at_offset: u64) {
     let started_ms = gateway.now_ms();
+    let era = gateway.store.borrow().progress.era;
     let path = store::append_path(store::LEAD_TOPIC, Some(at_offset));
     let Some(bytes) = codec::encode(gateway, "claim", record) else { return };
     let body = store::frame(&bytes);
@@ -108,7 +111,8 @@
     let response = call.await;
     let now_ms = gateway.now_ms();
     if let Ok(response) = &response
-        && let Err(reason) = sync::check_era(gateway, response)
+        && let Err(reason) =
+            sync::check_era(gateway, response).and_then(|()| sync::check_era_since(gateway, era))
     {
         if response.status_code == 200 {
             gateway.election.borrow_mut().on_appended_in_other_era(now_ms);
@@ -142,6 +146,11 @@
                 &format!("status {}", response.status_code),
             );
         }
+        // After a restore the condition was that of a log which no longer exists.
+        Err(error) if sync::check_era_since(gateway, era).is_err() => {
+            election.on_appended_in_other_era(now_ms);
+            record_failure(gateway, "claim", "other_era", &error.to_string());
+        }
         Err(error) => {
             election.on_append_unknown();
             record_failure(gateway, "claim", "no_answer", &error.to_string());
--- a/lovageridge/src/gateway/sync.rs
+++ b/lovageridge/src/gateway/sync.rs
@@ -147,6 +147,7 @@
     let mut after: Option<String> = None;
     let mut records: Vec<KeyedRecord> = Vec::new();
     let mut end_offset = None;
+    let mut era = None;
     loop {
         let path = store::newest_path(topic.name(), after.as_deref());
         let page = match call_store(gateway, client, topic, "newest", &path, CALL_TIMEOUT).await? {
@@ -154,6 +155,7 @@
             (404, _) => break,
             (status, _) => return Err(format!("status {status}")),
         };
+        check_era_since(gateway, *era.get_or_insert(current_era(gateway)))?;
         // The pages are not one consistent snapshot. Continuing at the end offset of the first page
         // makes sure that no later record is missed.
         end_offset = end_offset.or(Some(page.end_offset));
@@ -170,6 +172,7 @@
     for record in records {
         apply(gateway, topic, record, SOURCE_STORE).await;
     }
+    check_era_since(gateway, era.unwrap_or(current_era(gateway)))?;
     gateway.store.borrow_mut().advance(topic, end_offset.unwrap_or(0));
     peers::driver::report_reads(gateway);
     Ok(())
@@ -198,7 +201,11 @@
 ) -> Result<(), String> {
     let path = store::read_path(topic.name(), offset, wait_ms);
     let limit = Duration::from_millis(wait_ms) + CALL_TIMEOUT;
-    let body = match call_store(gateway, client, topic, "read", &path, limit).await? {
+    let era = current_era(gateway);
+    let result = call_store(gateway, client, topic, "read", &path, limit).await?;
+    // Another instance may have told of a restore in the meantime.
+    check_era_since(gateway, era)?;
+    let body = match result {
         (200, body) => body,
         (410 | 404, _) => {
             gateway.store.borrow_mut().on_expired(topic);
@@ -217,12 +224,12 @@
     for record in newest_of_keys(gateway, topic, &tail.records) {
         apply(gateway, topic, record, SOURCE_STORE).await;
     }
+    check_era_since(gateway, era)?;
     gateway.store.borrow_mut().advance(topic, next_offset);
     if topic == Topic::Operator && tail.end_offset > next_offset {
         // More has been written than one read returns; only the newest of it matters.
         gateway.store.borrow_mut().on_expired(topic);
     }
-    let era = gateway.store.borrow().progress.era;
     let has_new_config = gateway.store.borrow().progress.config_version > before;
     match topic {
         Topic::Operator if has_new_config => peers::driver::send_config(gateway, next_offset),
@@ -349,6 +356,22 @@
     }
 }
 
+fn current_era(gateway: &Gateway) -> u64 {
+    gateway.store.borrow().progress.era
+}
+
+/// Checks that no restore of the store has become known since `era` was the newest one; offsets of that time
+/// cannot be used any longer, even if the response to a call is of the new era.
+///
+/// # Errors
+/// Returns that the store was restored.
+pub fn check_era_since(gateway: &Gateway, era: u64) -> Result<(), String> {
+    match current_era(gateway) {
+        current if current == era => Ok(()),
+        current => Err(format!("the store was restored during the call (era {current})")),
+    }
+}
+
 /// Compares an era with the newest one known; after a restore, discards what depends on offsets and has the
 /// records of this instance written again.
 pub fn note_era(gateway: &Gateway, era: u64) -> EraChange {
@@ -393,7 +416,7 @@
 async fn apply(gateway: &Gateway, topic: Topic, record: KeyedRecord, source: &str) {
     match topic {
         Topic::Operator if record.key == store::CONFIG_KEY => {
-            let era = gateway.store.borrow().progress.era;
+            let era = current_era(gateway);
             apply_config(gateway, Bytes::from(record.value), era, source).await;
         }
         Topic::Operator => {}
--- a/lovageridge/tests/gateway/restores.rs
+++ b/lovageridge/tests/gateway/restores.rs
@@ -36,6 +36,43 @@
     deployment.close();
 }
 
+/// Guards against a read that was sent before a restore and answered after it, with records from an offset that
+/// points into another log by then: those before it would never be read (CONFIG, DRAIN).
+#[test]
+fn reads_that_wait_during_a_restore_skip_no_records() {
+    let deployment = deployment(vec![("p0", plain_worker(5)), ("p1", plain_worker(5))], 1);
+    let version = || deployment.instances[0].metric("gateway_config_version ");
+    let copy = deployment.store.copy();
+    deployment.store.put("keyed.op", "config", &config(2, &json!({})));
+    for _ in 0..2 {
+        deployment.announce(deployment.worker("p1"), "ready");
+    }
+    assert!(wait_for(|| version() == Some(2.0)));
+    thread::sleep(Duration::from_millis(1500));
+    let (p0, p1) = (deployment.worker("p0"), deployment.worker("p1"));
+    deployment.store.restore_and_put(
+        &copy,
+        &[
+            ("keyed.op", "config", config(3, &json!({}))),
+            ("keyed.op", "other", b"1".to_vec()),
+            ("keyed.op", "other", b"2".to_vec()),
+            ("keyed.servers", "p1", p1.record("draining")),
+            ("keyed.servers", "p0", p0.record("ready")),
+            ("keyed.servers", "p0", p0.record("ready")),
+        ],
+    );
+    thread::sleep(IN_FORCE);
+    assert_eq!(version(), Some(3.0));
+    let before = p1.requests();
+    for number in 0..20 {
+        let request = CallerRequest::get("/look/1", &format!("after{number}"));
+        let reply = request.send(deployment.instances[0].callers_addr).expect("a response");
+        assert_eq!(reply.status_code, 200);
+    }
+    assert_eq!(p1.requests(), before);
+    deployment.close();
+}
+
 /// Guards against instances that return to an older configuration that the restored store holds (CONFIG).
 #[test]
 fn a_configuration_that_the_store_has_lost_stays_in_force() {
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -143,10 +143,7 @@
 
     /// Writes a keyed record; an empty value deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
-        let mut record = vec![key.len() as u8];
-        record.extend_from_slice(key.as_bytes());
-        record.extend_from_slice(value);
-        self.shared.lock().topic(topic).append(record, true);
+        self.shared.lock().topic(topic).append(keyed_record(key, value), true);
         self.shared.changed.notify_all();
     }
 
@@ -157,9 +154,17 @@
 
     /// Replaces all topics by those of a copy; what was written since is lost.
     pub fn restore(&self, copy: &StoreCopy) {
+        self.restore_and_put(copy, &[]);
+    }
+
+    /// The same, and writes keyed records (topic, key and value) before any further call is served.
+    pub fn restore_and_put(&self, copy: &StoreCopy, records: &[(&str, &str, Vec<u8>)]) {
         let mut state = self.shared.lock();
         state.topics.clone_from(&copy.topics);
         state.era += 1;
+        for (topic, key, value) in records {
+            state.topic(topic).append(keyed_record(key, value), true);
+        }
         drop(state);
         self.shared.changed.notify_all();
     }
@@ -331,6 +336,13 @@
     }
 }
 
+fn keyed_record(key: &str, value: &[u8]) -> Vec<u8> {
+    let mut record = vec![key.len() as u8];
+    record.extend_from_slice(key.as_bytes());
+    record.extend_from_slice(value);
+    record
+}
+
 /// Keeps the connection of a call open without a response.
 fn hold_connection() -> bool {
     thread::sleep(UNRESPONSIVE_TIME);
