Accept fractions in whole numbers of settings and configurations

Cause: the lease, the retry slack and several numbers of configurations and worker records were parsed as integers. Proof: four of the new tests failed on (fractions of the slack, the lease and a configuration; NaN, which was taken for a grace of 0 ms). Change: whole numbers are parsed as decimals and rounded in the direction that keeps the bound; NaN, infinite and negative numbers are refused with the name of the key. A key that is unusable still ends the start with an error that names it, and unknown keys are still ignored; both are now said in the doc comment.

--- a/lovageridge/src/platform/config.rs
+++ b/lovageridge/src/platform/config.rs
@@ -1,6 +1,8 @@
 //! Parser of the operator's configuration as stored in the platform's store.
 
 use serde::Deserialize;
+use serde::Deserializer;
+use serde::de::Error as _;
 
 use crate::gateway::catalog::Catalog;
 use crate::gateway::catalog::Engine;
@@ -33,13 +35,13 @@
     target_latency_ms: f64,
     #[serde(default)]
     target_gap_ms: f64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole")]
     priority: u32,
     #[serde(default)]
     service: Option<String>,
     #[serde(default)]
     traffic_split: Vec<SplitJson>,
-    #[serde(default = "default_max_attempts")]
+    #[serde(default = "default_max_attempts", deserialize_with = "whole")]
     max_attempts: u32,
     #[serde(default)]
     resumable: bool,
@@ -60,7 +62,7 @@
 #[serde(rename_all = "PascalCase")]
 struct ServiceJson {
     name: String,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole")]
     max_conns: u32,
     #[serde(default)]
     engine: Option<EngineJson>,
@@ -69,12 +71,12 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
 struct EngineJson {
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole")]
     slots: u32,
     models: Vec<ModelJson>,
     // Memory of one worker for weights and adapters together, unlike the field of a model.
     weights_mb: f64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole")]
     adapter_slots: u32,
     #[serde(default)]
     loads_per_s: f64,
@@ -92,7 +94,7 @@
     #[serde(default)]
     disk_s: Option<f64>,
     // Number of adapters; in reports and worker records the field of this name lists them.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole")]
     adapters: u32,
     #[serde(default)]
     adapter_mb: f64,
@@ -101,10 +103,20 @@
 #[derive(Default, Deserialize)]
 #[serde(default, rename_all = "PascalCase")]
 struct LimitsJson {
-    max_header_bytes: Option<usize>,
-    max_body_bytes: Option<usize>,
-    header_timeout_ms: Option<u64>,
-    idle_timeout_ms: Option<u64>,
+    max_header_bytes: Option<f64>,
+    max_body_bytes: Option<f64>,
+    header_timeout_ms: Option<f64>,
+    idle_timeout_ms: Option<f64>,
+}
+
+/// Deserializes a number that may have a fraction, which is cut off.
+pub(super) fn whole<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+    let value = f64::deserialize(deserializer)?;
+    if (0.0..=f64::from(u32::MAX)).contains(&value) {
+        Ok(value as u32)
+    } else {
+        Err(D::Error::custom(format!("{value} is not a number from 0 to {}", u32::MAX)))
+    }
 }
 
 /// Parses a configuration.
@@ -175,9 +187,11 @@
 fn limits(json: &LimitsJson) -> Limits {
     let default = Limits::default();
     Limits {
-        max_header_bytes: json.max_header_bytes.unwrap_or(default.max_header_bytes),
-        max_body_bytes: json.max_body_bytes.unwrap_or(default.max_body_bytes),
-        header_timeout_ms: json.header_timeout_ms.unwrap_or(default.header_timeout_ms),
-        idle_timeout_ms: json.idle_timeout_ms.unwrap_or(default.idle_timeout_ms),
+        max_header_bytes: json
+            .max_header_bytes
+            .map_or(default.max_header_bytes, |bytes| bytes as usize),
+        max_body_bytes: json.max_body_bytes.map_or(default.max_body_bytes, |bytes| bytes as usize),
+        header_timeout_ms: json.header_timeout_ms.map_or(default.header_timeout_ms, |ms| ms as u64),
+        idle_timeout_ms: json.idle_timeout_ms.map_or(default.idle_timeout_ms, |ms| ms as u64),
     }
 }
--- a/lovageridge/src/platform/settings.rs
+++ b/lovageridge/src/platform/settings.rs
@@ -20,10 +20,11 @@
     std::env::var(PATH_VARIABLE).unwrap_or_else(|_| DEFAULT_PATH.to_owned())
 }
 
-/// Parses the settings of an instance; unknown keys are ignored.
+/// Parses the settings of an instance. Unknown keys are ignored, so that the platform can add some.
 ///
 /// # Errors
-/// Returns an error that names the first key found to be missing or unusable.
+/// Returns an error that names the first key found to be missing or unusable; an instance then does not
+/// start, or keeps the settings that it has.
 pub fn parse(text: &str) -> Result<GatewaySettings, Error> {
     let entries: Table<&str, &str> =
         text.lines().filter_map(|line| line.trim().split_once('=')).collect();
@@ -53,14 +54,14 @@
     .metrics_addr(SocketAddr::new(ip, peers_port + 1))
     .store_addr(required(&entries, "Platform.Address")?)
     .seeds(seeds)
-    .lease_ms(optional(&entries, "Bounds.LeaseMs", settings::DEFAULT_LEASE_MS)?)
+    .lease_ms(whole(&entries, "Bounds.LeaseMs", settings::DEFAULT_LEASE_MS, f64::ceil)?)
     .grace_ms(thousandths(&entries, "Bounds.GraceS", settings::DEFAULT_GRACE_MS)?)
     .retry_permille(thousandths(
         &entries,
         "Bounds.RetryBudgetRatio",
         settings::DEFAULT_RETRY_PERMILLE,
     )?)
-    .retry_slack(optional(&entries, "Bounds.BudgetSlack", settings::DEFAULT_RETRY_SLACK)?)
+    .retry_slack(whole(&entries, "Bounds.BudgetSlack", settings::DEFAULT_RETRY_SLACK, f64::floor)?)
     .retry_window_ms(thousandths(
         &entries,
         "Bounds.BudgetWindowS",
@@ -89,11 +90,33 @@
     if entries.contains(key) { required(entries, key) } else { Ok(default) }
 }
 
+/// Returns a number that may have a fraction, rounded to a whole one by `round`, in the direction that
+/// keeps the bound.
+fn whole(
+    entries: &Table<&str, &str>,
+    key: &'static str,
+    default: u64,
+    round: impl Fn(f64) -> f64,
+) -> Result<u64, Error> {
+    let value = decimal(entries, key)?;
+    Ok(value.map_or(default, |value| round(value) as u64))
+}
+
 /// Returns a decimal value in units of 1/1000, such as seconds in ms.
 fn thousandths(entries: &Table<&str, &str>, key: &'static str, default: u64) -> Result<u64, Error> {
+    let value = decimal(entries, key)?;
+    Ok(value.map_or(default, |value| (value * 1000.0) as u64))
+}
+
+/// Returns the number under `key`, if the key is present.
+fn decimal(entries: &Table<&str, &str>, key: &'static str) -> Result<Option<f64>, Error> {
     if !entries.contains(key) {
-        return Ok(default);
+        return Ok(None);
     }
     let value: f64 = required(entries, key)?;
-    Ok((value * 1000.0) as u64)
+    if value.is_finite() && value >= 0.0 {
+        Ok(Some(value))
+    } else {
+        Err(Error::field(key, format!("{value:?} is not a number of 0 or more")))
+    }
 }
--- a/lovageridge/src/platform/tests.rs
+++ b/lovageridge/src/platform/tests.rs
@@ -51,6 +51,28 @@
     assert!(error.to_string().starts_with(key), "{error}");
 }
 
+#[test_case("33.1578947368421", 33; "a fraction is cut off")]
+#[test_case("630", 630; "a whole number")]
+fn the_slack_of_the_retry_budget_may_have_a_fraction(text: &str, expected: u64) {
+    let settings = settings::parse(&format!("{SETTINGS}Bounds.BudgetSlack={text}\n"));
+    assert_eq!(settings.expect("valid settings").retry_slack, expected);
+}
+
+#[test]
+fn the_time_between_leads_is_rounded_up() {
+    let text = SETTINGS.replace("Bounds.LeaseMs=2500", "Bounds.LeaseMs=2500.2");
+    assert_eq!(settings::parse(&text).expect("valid settings").lease_ms, 2501);
+}
+
+#[test_case("Bounds.LeaseMs", "-1"; "a negative number")]
+#[test_case("Bounds.GraceS", "NaN"; "not a number")]
+#[test_case("Bounds.BudgetSlack", "inf"; "an infinite number")]
+#[test_case("Limits.CpuShare", "half"; "a word")]
+fn an_error_names_the_key_of_an_unusable_number(key: &str, value: &str) {
+    let error = settings::parse(&format!("{SETTINGS}{key}={value}\n")).expect_err("an error");
+    assert!(error.to_string().starts_with(key), "{error}");
+}
+
 const CONFIG: &str = r#"{"Version":7,"Routes":[
     {"Name":"r1","Host":"h.example","PathPrefix":"/a/","RouteType":"streaming","TimeoutMs":25000,
      "TargetLatencyMs":3000,"Priority":0,"Service":"s","MaxAttempts":2,"Resumable":true},
@@ -76,6 +98,20 @@
     assert!(catalog.engine("t").is_none());
 }
 
+#[test]
+fn numbers_of_a_configuration_may_have_fractions() {
+    let text = CONFIG
+        .replace("\"Slots\":4", "\"Slots\":4.5")
+        .replace("\"MaxConns\":9", "\"MaxConns\":9.9");
+    let text = text.replace("\"MaxBodyBytes\":100", "\"MaxBodyBytes\":100.5,\"IdleTimeoutMs\":7.5");
+    let catalog = config::parse(text.as_bytes()).expect("valid configuration");
+    assert_eq!(catalog.engine("s").expect("an engine").slots, 4);
+    assert_eq!(catalog.services.get("s").expect("a service").max_connections, 9);
+    assert_eq!((catalog.limits.max_body_bytes, catalog.limits.idle_timeout_ms), (100, 7));
+    let text = CONFIG.replace("\"Slots\":4", "\"Slots\":-4");
+    assert!(config::parse(text.as_bytes()).is_err(), "a negative number");
+}
+
 const WORKER: &str = r#"{"Service":"s","Address":"10.0.0.9:8080","Zone":"a","Slots":64,
     "State":"ready","Models":[{"Name":"z","Adapters":["a2","a1"]},{"Name":"b"}],
     "AtHand":{"InMemory":["z"],"OnDisk":["b"]},"Seq":4,"born":1783}"#;
--- a/lovageridge/src/platform/workers.rs
+++ b/lovageridge/src/platform/workers.rs
@@ -8,6 +8,7 @@
 use crate::gateway::directory::LoadedModel;
 use crate::gateway::directory::WorkerRecord;
 use crate::platform::Error;
+use crate::platform::config;
 
 #[derive(Deserialize)]
 #[serde(rename_all = "PascalCase")]
@@ -15,6 +16,7 @@
     service: String,
     address: String,
     zone: String,
+    #[serde(deserialize_with = "config::whole")]
     slots: u32,
     state: String,
     // Time left, in ms, until a worker that is being reclaimed at short notice is stopped.
