Pass the lead's updates on within large failure domains; report demand early only if it matters

Callers at 295 instances waited for models that the lead could not plan in time: reports of workers, renewals and answers to orders timed out on the lead alone. Change: an update that changes nothing for an instance's requests in progress causes no early report.

--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -460,6 +460,15 @@
         self.absent_targets.push((model.to_owned(), adapter.map(str::to_owned), until_ms));
     }
 
+    /// Returns whether requests of this instance are in progress at it for a model that `view` does not
+    /// list.
+    pub fn runs_requests_beyond(&self, view: &WorkerView) -> bool {
+        let is_listed = |model: &str| {
+            view.models.binary_search_by(|loaded| loaded.model.as_str().cmp(model)).is_ok()
+        };
+        self.in_flight_by_model.keys().any(|model| !is_listed(model))
+    }
+
     /// Records that a request is sent to the worker.
     pub fn on_sent(&mut self, model: Option<&str>) {
         self.in_flight += 1;
--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -19,6 +19,7 @@
 use crate::sorted::Table;
 
 pub mod driver;
+pub mod relays;
 
 #[cfg(test)]
 mod tests;
@@ -293,6 +294,15 @@
     },
     /// Limits that workers have stated recently.
     Limits(Vec<LimitReport>),
+    /// A datagram for the receiver and all other instances of its failure domain.
+    Relay(Vec<u8>),
+    /// A datagram of another instance that the sender passes on.
+    Relayed {
+        /// Address of the instance that the datagram is from.
+        from: SocketAddr,
+        /// The datagram.
+        datagram: Vec<u8>,
+    },
 }
 
 /// Content of a datagram.
--- a/lovageridge/src/gateway/peers/driver.rs
+++ b/lovageridge/src/gateway/peers/driver.rs
@@ -188,6 +188,11 @@
         Payload::Grant { number, grant, report } => {
             limits::driver::on_grant(gateway, number, grant, report.as_ref());
         }
+        Payload::Relay(datagram) => {
+            on_relayed(gateway, &datagram, from);
+            send_to_domain(gateway, Payload::Relayed { from, datagram });
+        }
+        Payload::Relayed { from, datagram } => on_relayed(gateway, &datagram, from),
         Payload::CrashEvidence(reports) => crashes::driver::on_evidence(gateway, &reports),
         Payload::EvidenceDigest { digest, reply_requested } => {
             crashes::driver::on_digest(gateway, digest, reply_requested, from);
@@ -196,6 +201,23 @@
     sync::on_peer_message(gateway, now_ms);
 }
 
+/// Applies a datagram that has reached this instance through another one. It shows nothing about the link
+/// to the instance `from` that it is from, so only updates of the lead are taken from it.
+fn on_relayed(gateway: &Gateway, datagram: &[u8], from: SocketAddr) {
+    match peers::decode(datagram) {
+        Ok(message) => {
+            let sender =
+                Sender { message_era: message.progress.era, incarnation: message.incarnation };
+            if let Payload::Residency(residency) = message.payload
+                && message.sender != gateway.settings().instance_id
+            {
+                on_residency(gateway, &message.sender, sender, residency, from);
+            }
+        }
+        Err(error) => log_dropped(gateway, &from.to_string(), &error.to_string()),
+    }
+}
+
 /// Sends a heartbeat to a newer lead that this instance has not received a message from, so that the
 /// lead includes it in its residency updates.
 fn announce_to_lead(gateway: &Gateway, lead: &LeadInfo) {
@@ -251,6 +273,7 @@
     }
     drop(election);
     let mut changed = false;
+    let mut is_demand_affected = false;
     let mut directory = gateway.directory.borrow_mut();
     directory.refresh_views(residency.fence, now_ms);
     if let Some(status) = &residency.status {
@@ -259,12 +282,19 @@
         changed |= !status.delayed_models.is_empty();
     }
     for view in residency.workers {
-        changed |= directory.on_view(view, residency.fence, residency.sequence, now_ms);
+        let worker = directory.get(&view.id);
+        let is_affected = worker.is_some_and(|worker| worker.runs_requests_beyond(&view));
+        if directory.on_view(view, residency.fence, residency.sequence, now_ms) {
+            changed = true;
+            is_demand_affected |= is_affected;
+        }
     }
     drop(directory);
     if changed {
         gateway.state_changed.notify_waiters();
-        // An early report shows the lead if a model that it is about to evict has requests in
+    }
+    if is_demand_affected {
+        // An early report shows the lead that a model that it is about to evict has requests in
         // progress here.
         gateway.demand_report_due.notify_one();
     }
