--- a/lovageridge/src/gateway/fleet.rs
+++ b/lovageridge/src/gateway/fleet.rs
@@ -14,6 +14,7 @@
 use crate::sorted::Table;
 
 pub mod driver;
+mod index;
 mod plan;
 mod replicas;
 pub mod residency;
@@ -23,6 +24,9 @@
 #[cfg(test)]
 mod tests;
 
+use crate::gateway::fleet::index::FleetIndex;
+use crate::gateway::fleet::index::RunningRow;
+use crate::gateway::fleet::plan::TargetKey;
 use crate::gateway::fleet::store_limiter::StoreLoadLimiter;
 use crate::gateway::fleet::worker::WorkerState;
 
@@ -74,9 +78,18 @@
 #[derive(Clone, Debug)]
 struct InstanceDemand {
     received_ms: u64,
-    waiting_targets: Vec<WaitingTarget>,
-    // Requests in progress by worker and model.
-    running: Table<(String, String), u32>,
+    // Each with the number of its model.
+    waiting_targets: Vec<(usize, WaitingTarget)>,
+    // Requests in progress; empty once the report is too old.
+    running: Vec<RunningRow>,
+}
+
+/// A view of a worker and the state that it was made from.
+#[derive(Clone, Debug)]
+struct CachedView {
+    revision: u64,
+    made_ms: u64,
+    view: WorkerView,
 }
 
 /// The lead's state of all model workers, for one term.
@@ -84,11 +97,17 @@
 pub struct Fleet {
     fence: u64,
     workers: Table<String, WorkerState>,
-    usage: Table<ModelKey, ModelUsage>,
+    index: FleetIndex,
+    views: Table<String, CachedView>,
     demand: Table<String, InstanceDemand>,
     store_load_starts_ms: Vec<u64>,
     store_limiter: StoreLoadLimiter,
     decisions: Vec<Decision>,
+    next_preload_ms: u64,
+    update_interval_ms: u64,
+    // Target at which the next tick goes on, if the last one had to stop before its end.
+    resume_at: Option<TargetKey>,
+    steps: u64,
 }
 
 impl Fleet {
@@ -97,11 +116,16 @@
         Self {
             fence,
             workers: Table::new(),
-            usage: Table::new(),
+            index: FleetIndex::default(),
+            views: Table::new(),
             demand: Table::new(),
             store_load_starts_ms: Vec::new(),
             store_limiter: StoreLoadLimiter::default(),
             decisions: Vec::new(),
+            next_preload_ms: 0,
+            update_interval_ms: 0,
+            resume_at: None,
+            steps: 0,
         }
     }
 
@@ -114,73 +138,121 @@
     pub fn on_worker_record(&mut self, record: &WorkerRecord, now_ms: u64) {
         match self.workers.get_mut(record.id.as_str()) {
             Some(worker) if worker.start_unix_ms == record.start_unix_ms => {
+                worker.touch();
                 if let Some(load) = worker.on_record(record, now_ms) {
                     self.store_limiter.on_load_finished(load);
                 }
             }
             _ => {
                 let worker = WorkerState::new(record, now_ms);
+                self.views.remove(record.id.as_str());
                 self.workers.insert(record.id.clone(), worker);
             }
         }
+        if let Some(worker) = self.workers.get(record.id.as_str()) {
+            self.index.describe(worker, now_ms);
+        }
     }
 
     /// Removes a worker.
     pub fn on_worker_removed(&mut self, id: &str) {
         self.workers.remove(id);
+        self.views.remove(id);
+        self.index.forget(id);
+    }
+
+    /// Sets the requests per second that a worker takes from all instances, if it limits them.
+    pub fn set_limit(&mut self, id: &str, limit_per_s: Option<f64>) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.limit_per_s = limit_per_s;
+        }
+    }
+
+    /// Sets the shortest time between two updates to the instances, in ms. Evictions wait for one.
+    pub fn set_update_interval(&mut self, update_interval_ms: u64) {
+        self.update_interval_ms = update_interval_ms;
     }
 
-    /// Removes the workers for which `keep` returns false.
-    pub fn retain(&mut self, mut keep: impl FnMut(&str) -> bool) {
-        self.workers.retain(|id, _| keep(id));
+    /// Returns the shortest time between two updates to the instances, in ms.
+    pub fn update_interval_ms(&self) -> u64 {
+        self.update_interval_ms
     }
 
     /// Applies a demand report of an instance.
     pub fn on_demand(&mut self, instance_id: &str, demand: Demand, now_ms: u64) {
         for target in &demand.uses {
-            let key = (target.service.clone(), target.model.clone());
-            let usage = self.usage.get_or_insert_with(key, ModelUsage::default);
-            usage.add_arrivals(f64::from(target.arrivals), now_ms);
-            usage.last_used_ms = now_ms;
+            let Some(number) = self.index.number_of_model(&target.service, &target.model) else {
+                continue;
+            };
+            self.index.on_arrivals(number, target.arrivals, now_ms);
             if let Some(adapter) = &target.adapter {
-                for (_, worker) in self.workers.iter_mut() {
-                    worker.on_adapter_used(&target.model, adapter, now_ms);
+                for replica in &self.index.model(number).replicas {
+                    let id = self.index.worker_id(replica.worker);
+                    if let Some(worker) = self.workers.get_mut(id) {
+                        worker.on_adapter_used(&target.model, adapter, now_ms);
+                    }
                 }
             }
         }
-        let rows = demand.running.into_iter().map(|row| ((row.worker, row.model), row.count));
-        let instance_demand = InstanceDemand {
-            received_ms: now_ms,
-            waiting_targets: demand.waiting_targets,
-            running: rows.collect(),
-        };
-        self.demand.insert(instance_id.to_owned(), instance_demand);
-    }
-
-    /// Returns what each worker holds, to be published to all instances. Workers whose state is not
-    /// confirmed by a report are left out.
-    pub fn views(&self, now_ms: u64) -> Vec<WorkerView> {
+        let mut running = Vec::new();
+        for row in &demand.running {
+            let Some(worker) = self.workers.get(row.worker.as_str()) else { continue };
+            let model = self.index.number_of_model(&worker.service, &row.model);
+            let (Some(worker), Some(model)) = (self.index.worker_number(&row.worker), model) else {
+                continue;
+            };
+            running.push(RunningRow { worker, model, count: row.count });
+        }
+        let mut waiting_targets = Vec::new();
+        for target in demand.waiting_targets {
+            if let Some(number) = self.index.number_of_model(&target.service, &target.model) {
+                waiting_targets.push((number, target));
+            }
+        }
+        self.index.add_running(&running);
+        let report = InstanceDemand { received_ms: now_ms, waiting_targets, running };
+        if let Some(previous) = self.demand.insert(instance_id.to_owned(), report) {
+            self.index.remove_running(&previous.running);
+        }
+    }
+
+    /// Ends the effect of reports that are too old.
+    fn expire_reports(&mut self, now_ms: u64) {
+        for (_, report) in self.demand.iter_mut() {
+            if !report.is_fresh(now_ms) {
+                self.index.remove_running(&std::mem::take(&mut report.running));
+                report.waiting_targets.clear();
+            }
+        }
+    }
+
+    /// Returns what each worker holds, sorted by id, to be published to all instances. Workers whose
+    /// state is not confirmed by a report are left out.
+    pub fn views(&mut self, now_ms: u64) -> Vec<&WorkerView> {
+        for (id, worker) in self.workers.iter() {
+            let cached = self.views.get(id.as_str());
+            let is_current = cached.is_some_and(|cached| {
+                cached.revision == worker.revision()
+                    && !worker.has_new_adapter(cached.made_ms, now_ms)
+            });
+            if !is_current {
+                let (revision, view) = (worker.revision(), worker.view(now_ms));
+                self.views.insert(id.clone(), CachedView { revision, made_ms: now_ms, view });
+            }
+        }
         self.workers
-            .values()
-            .filter(|worker| worker.is_order_count_known())
-            .map(|worker| worker.view(now_ms))
+            .iter()
+            .filter(|(_, worker)| worker.is_order_count_known())
+            .filter_map(|(id, _)| self.views.get(id.as_str()).map(|cached| &cached.view))
             .collect()
     }
 
     /// Returns the requests in progress, over all instances, of the `max_workers` busiest workers,
     /// sorted by tag.
-    pub fn busiest_workers(&self, max_workers: usize, now_ms: u64) -> Vec<WorkerLoad> {
-        let mut running: Table<&str, u32> = Table::new();
-        for report in
-            self.demand.values().filter(|report| now_ms <= report.received_ms + DEMAND_STALE_MS)
-        {
-            for ((worker, _), count) in report.running.iter() {
-                *running.get_or_insert_with(worker.as_str(), || 0) += count;
-            }
-        }
+    pub fn busiest_workers(&self, max_workers: usize) -> Vec<WorkerLoad> {
+        let running = self.index.running_by_worker();
         let mut loads: Vec<WorkerLoad> = running
-            .iter()
-            .map(|(worker, count)| WorkerLoad { worker: tag(&[worker]), running: *count })
+            .map(|(worker, running)| WorkerLoad { worker: tag(&[worker]), running })
             .collect();
         loads.sort_by_key(|load| std::cmp::Reverse(load.running));
         loads.truncate(max_workers);
@@ -188,6 +260,17 @@
         loads
     }
 
+    /// Returns the number of workers.
+    pub fn worker_count(&self) -> usize {
+        self.workers.len()
+    }
+
+    /// Returns the number of steps of the planner since the last call: models, workers and replicas
+    /// that it has looked at.
+    pub fn take_steps(&mut self) -> u64 {
+        std::mem::take(&mut self.steps)
+    }
+
     /// Returns the loads planned since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
@@ -200,28 +283,24 @@
 
     /// Returns a worker's state for modification.
     pub fn worker_mut(&mut self, id: &str) -> Option<&mut WorkerState> {
-        self.workers.get_mut(id)
+        let worker = self.workers.get_mut(id)?;
+        worker.touch();
+        Some(worker)
     }
 
-    /// Returns the number of requests in progress for `model` on `worker`, over all instances.
-    fn running_requests(&self, worker: &str, model: &str, now_ms: u64) -> u32 {
-        let key = (worker.to_owned(), model.to_owned());
-        let fresh =
-            self.demand.values().filter(|report| now_ms <= report.received_ms + DEMAND_STALE_MS);
-        fresh.filter_map(|report| report.running.get(&key)).sum()
-    }
-
-    /// Returns the number of requests in progress for `model`, over all workers and instances.
-    fn running_requests_total(&self, model: &str, now_ms: u64) -> u32 {
-        let fresh =
-            self.demand.values().filter(|report| now_ms <= report.received_ms + DEMAND_STALE_MS);
-        let rows = fresh.flat_map(|report| report.running.iter());
-        rows.filter(|((_, name), _)| name == model).map(|(_, count)| count).sum()
+    /// Changes a worker's state and what the planner looks up of it.
+    fn change_worker(&mut self, id: &str, now_ms: u64, change: impl FnOnce(&mut WorkerState)) {
+        let Some(worker) = self.worker_mut(id) else { return };
+        change(worker);
+        if let Some(worker) = self.workers.get(id) {
+            self.index.describe(worker, now_ms);
+        }
     }
+}
 
-    fn rate_per_s(&self, service: &str, model: &str, now_ms: u64) -> f64 {
-        let key = (service.to_owned(), model.to_owned());
-        self.usage.get(&key).map_or(0.0, |usage| usage.rate_per_s(now_ms))
+impl InstanceDemand {
+    fn is_fresh(&self, now_ms: u64) -> bool {
+        now_ms <= self.received_ms + DEMAND_STALE_MS
     }
 }
 
--- a/lovageridge/src/gateway/fleet/driver.rs
+++ b/lovageridge/src/gateway/fleet/driver.rs
@@ -16,25 +16,35 @@
 use crate::gateway::directory::WorkerView;
 use crate::gateway::eventlog::Severity;
 use crate::gateway::fleet::Call;
+use crate::gateway::fleet::Fleet;
 use crate::gateway::fleet::residency::MAX_DELAYED_MODELS;
-use crate::gateway::fleet::residency::MAX_WORKER_LOADS;
 use crate::gateway::fleet::residency::ResidencyPublisher;
+use crate::gateway::fleet::residency::max_worker_loads;
+use crate::gateway::fleet::residency::update_interval_ms;
 use crate::gateway::orders::Order;
 use crate::gateway::orders::OrderOutcome;
 use crate::gateway::peers::FleetStatus;
 use crate::gateway::peers::Payload;
 use crate::gateway::peers::Residency;
 use crate::gateway::peers::driver as peers_driver;
+use crate::gateway::peers::relays::Recipients;
+use crate::gateway::peers::relays::recipients;
 use crate::platform::control;
 use crate::platform::headers;
 use crate::telemetry::events;
 
 /// Longest time between two planner ticks while this instance leads.
 const TICK_INTERVAL: Duration = Duration::from_millis(15);
+/// Workers for which the shortest time between two ticks grows by one ms; what is reported meanwhile
+/// shares a tick.
+const WORKERS_PER_TICK_MS: usize = 16;
 /// Time between checks for the lead while this instance does not lead.
 const IDLE_TICK_INTERVAL: Duration = Duration::from_millis(500);
 /// Timeout of an order or a report request to a worker.
 const CALL_TIMEOUT: Duration = Duration::from_millis(350);
+/// Number of instances that get all views directly when they are new; more of them get them in the way
+/// of other updates.
+const DIRECT_NEWCOMERS_MAX: usize = 12;
 /// Workers per datagram; keeps it far below the maximum size of a datagram.
 const VIEWS_PER_MESSAGE: usize = 24;
 
@@ -42,12 +52,15 @@
 pub async fn run(gateway: Rc<Gateway>) {
     let mut publisher = ResidencyPublisher::default();
     let mut message_number = 0;
+    let mut last_tick_ms = 0;
     loop {
         let is_lead = gateway.fleet.borrow().is_some();
         let interval = if is_lead { TICK_INTERVAL } else { IDLE_TICK_INTERVAL };
         // Ticks without a notification too, since loads finish and adapters become ready as time
         // passes.
         let _ = timeout(interval, gateway.planning_due.notified()).await;
+        tokio::time::sleep(tick_spacing(&gateway, last_tick_ms)).await;
+        last_tick_ms = gateway.now_ms();
         let Some(calls) = tick(&gateway) else { continue };
         publish_residency(&gateway, &mut publisher, &mut message_number);
         for (worker, call) in calls {
@@ -56,19 +69,28 @@
     }
 }
 
+/// Returns the time that is left until the next tick may begin.
+fn tick_spacing(gateway: &Gateway, last_tick_ms: u64) -> Duration {
+    let fleet = gateway.fleet.borrow();
+    let workers = fleet.as_ref().map_or(0, Fleet::worker_count);
+    let spacing_ms = (workers / WORKERS_PER_TICK_MS) as u64;
+    let next_ms = last_tick_ms + spacing_ms.min(TICK_INTERVAL.as_millis() as u64);
+    Duration::from_millis(next_ms.saturating_sub(gateway.now_ms()))
+}
+
 fn tick(gateway: &Gateway) -> Option<Vec<(String, Call)>> {
     let now_ms = gateway.now_ms();
     let catalog = gateway.catalog()?;
     let mut fleet = gateway.fleet.borrow_mut();
     let fleet = fleet.as_mut()?;
     for worker in gateway.directory.borrow().iter() {
-        if let Some(state) = fleet.worker_mut(&worker.record.id) {
-            let per_ks = worker.limit.recent_per_ks(now_ms);
-            state.limit_per_s = per_ks.map(|per_ks| f64::from(per_ks) / 1000.0);
-        }
+        let per_ks = worker.limit.recent_per_ks(now_ms);
+        fleet.set_limit(&worker.record.id, per_ks.map(|per_ks| f64::from(per_ks) / 1000.0));
     }
+    fleet.set_update_interval(update_interval_ms(gateway.peers.borrow().unexpired(now_ms).count()));
     let may_order = gateway.election.borrow().may_order(gateway.settings().workers_check, now_ms);
     let calls = fleet.tick(&catalog, may_order, gateway.settings().load_window_ms, now_ms);
+    gateway.metrics.plan_steps_total.inc_by(fleet.take_steps());
     for decision in fleet.take_decisions() {
         let line = gateway.log.line(events::LOAD_PLANNED, Severity::Notable);
         line.text("worker", &decision.worker)
@@ -92,38 +114,36 @@
     message_number: &mut u64,
 ) {
     let now_ms = gateway.now_ms();
-    let Some((fence, views)) =
-        gateway.fleet.borrow().as_ref().map(|fleet| (fleet.fence(), fleet.views(now_ms)))
-    else {
+    let mut fleet = gateway.fleet.borrow_mut();
+    let Some(known) = fleet.as_mut() else { return };
+    let fence = known.fence();
+    if !publisher.may_update(fence, known.update_interval_ms(), now_ms) {
         return;
-    };
-    let Some(update) = publisher.next_update(fence, views, now_ms) else { return };
+    }
+    let Some(update) = publisher.next_update(fence, &known.views(now_ms), now_ms) else { return };
+    drop(fleet);
     *gateway.lead.borrow_mut() = Some(KnownLead {
         instance_id: gateway.settings().instance_id.clone(),
         fence,
         addr: None,
         received_at_ms: now_ms,
     });
-    let peers: Vec<(String, SocketAddr)> = gateway
-        .peers
-        .borrow()
-        .unexpired(now_ms)
-        .map(|(name, peer)| (name.clone(), peer.addr))
-        .collect();
-    let new_names = publisher.take_new_peers(peers.iter().map(|(name, _)| name));
-    let (new_peers, known_peers): (Vec<_>, Vec<_>) =
-        peers.into_iter().partition(|(name, _)| new_names.binary_search(name).is_ok());
+    let peers = gateway.peers.borrow();
+    let recipients = recipients(&peers, &gateway.settings().domain, *message_number, now_ms);
+    let new_names = publisher.take_new_peers(peers.unexpired(now_ms).map(|(name, _)| name));
+    let new_peers = new_names.iter().filter_map(|name| peers.get(name).map(|peer| peer.addr));
+    let new_peers: Vec<SocketAddr> = new_peers.collect();
+    drop(peers);
     let status = update.is_heartbeat.then(|| fleet_status(gateway, now_ms)).flatten();
-    send_views(gateway, fence, message_number, &update.views, status.as_ref(), &known_peers);
-    if !new_peers.is_empty() {
-        send_views(
-            gateway,
-            fence,
-            message_number,
-            &publisher.all_views(),
-            status.as_ref(),
-            &new_peers,
-        );
+    send_views(gateway, fence, message_number, &update.views, status.as_ref(), &recipients);
+    let newcomers = match new_peers.len() {
+        0 => Recipients::default(),
+        1..=DIRECT_NEWCOMERS_MAX => Recipients { direct: new_peers, relays: Vec::new() },
+        _ => recipients,
+    };
+    if newcomers != Recipients::default() {
+        let views = publisher.all_views();
+        send_views(gateway, fence, message_number, &views, status.as_ref(), &newcomers);
     }
     let mut directory = gateway.directory.borrow_mut();
     directory.refresh_views(fence, now_ms);
@@ -144,7 +164,7 @@
     let catalog = gateway.catalog()?;
     let fleet = gateway.fleet.borrow();
     let fleet = fleet.as_ref()?;
-    let loads = fleet.busiest_workers(MAX_WORKER_LOADS, now_ms);
+    let loads = fleet.busiest_workers(max_worker_loads(fleet.worker_count()));
     Some(FleetStatus {
         loads,
         delayed_models: fleet.delayed_models(&catalog, MAX_DELAYED_MODELS, now_ms),
@@ -157,7 +177,7 @@
     message_number: &mut u64,
     views: &[WorkerView],
     status: Option<&FleetStatus>,
-    recipients: &[(String, SocketAddr)],
+    recipients: &Recipients,
 ) {
     // The lead knows the end of the claims, since it has appended its own; receivers ignore an
     // offset that is not higher than theirs.
@@ -175,7 +195,15 @@
             Residency { fence, sequence: *message_number, claims_end_offset, workers, status };
         let message = peers_driver::build_message(gateway, Payload::Residency(residency));
         let Some(bytes) = codec::encode(gateway, "residency", &message) else { continue };
-        for (_, addr) in recipients {
+        for addr in &recipients.direct {
+            peers_driver::send_bytes(gateway, *addr, &bytes);
+        }
+        if recipients.relays.is_empty() {
+            continue;
+        }
+        let message = peers_driver::build_message(gateway, Payload::Relay(bytes.to_vec()));
+        let Some(bytes) = codec::encode(gateway, "relay", &message) else { continue };
+        for addr in &recipients.relays {
             peers_driver::send_bytes(gateway, *addr, &bytes);
         }
     }
--- a/lovageridge/src/gateway/fleet/plan.rs
+++ b/lovageridge/src/gateway/fleet/plan.rs
@@ -1,19 +1,20 @@
 //! Planner: decides which model is loaded on which worker.
 //!
 //! It loads models that requests wait for, adds replicas of busy models and fills free memory. To
-//! make room it evicts the models that cost least to lose.
+//! make room it evicts the models that cost least to lose. A tick looks only at the workers that can
+//! help, and stops after a bounded number of steps; the next one goes on from there.
 
 use crate::gateway::catalog::Catalog;
 use crate::gateway::catalog::Engine;
 use crate::gateway::fleet::Call;
-use crate::gateway::fleet::DEMAND_STALE_MS;
 use crate::gateway::fleet::Decision;
 use crate::gateway::fleet::Fleet;
-use crate::gateway::fleet::ModelKey;
+use crate::gateway::fleet::index::ModelEntry;
 use crate::gateway::fleet::worker::PendingLoad;
 use crate::gateway::fleet::worker::WorkerState;
 use crate::gateway::orders::OrderKind;
 use crate::gateway::peers::DelayedModel;
+use crate::gateway::peers::WaitingTarget;
 use crate::gateway::peers::tag;
 
 /// Delay between publishing an eviction and ordering it, in ms: time for a datagram to another
@@ -33,8 +34,11 @@
 const BUSY_EVICTION_COST_MS: f64 = 60_000.0;
 /// Highest cost of evictions per waiting request, in ms: about the time for which callers wait.
 const MAX_COST_PER_WAITING_REQUEST_MS: f64 = 8000.0;
-/// Concurrent requests that one replica serves well along with the other load of its worker.
-pub(super) const RUNNING_REQUESTS_PER_REPLICA: u32 = 16;
+/// Slots of a worker per concurrent request that one replica serves well along with the other load of
+/// its worker.
+const SLOTS_PER_REPLICA_REQUEST: u32 = 4;
+/// Concurrent requests that one replica serves well if the slots of its worker are not known.
+const DEFAULT_REQUESTS_PER_REPLICA: u32 = 16;
 /// Added to the cost of a placement in a failure domain that already has a replica, in ms: a
 /// network partition or the failure of the domain would affect both.
 const SAME_DOMAIN_PENALTY_MS: f64 = 1500.0;
@@ -52,12 +56,18 @@
 const MIN_REPORTED_DELAY_MS: u64 = 1000;
 /// Time since its last use after which an adapter may be evicted, in ms.
 const ADAPTER_IDLE_MS: u64 = 400;
+/// Interval at which free memory is filled, in ms.
+const PRELOAD_INTERVAL_MS: u64 = 60;
+/// Steps after which a tick makes no further target available.
+pub(super) const MAX_STEPS_PER_TICK: u64 = 4000;
+
+/// Number of a model, and the adapter if one is meant.
+pub(super) type TargetKey = (usize, Option<String>);
 
 /// A model or adapter that requests wait for, summed over all instances.
 #[derive(Clone, Debug)]
 struct UnmetDemand {
-    service: String,
-    model: String,
+    model: usize,
     adapter: Option<String>,
     waiting: u32,
     slack_ms: u64,
@@ -83,65 +93,88 @@
         load_window_ms: u64,
         now_ms: u64,
     ) -> Vec<(String, Call)> {
+        self.expire_reports(now_ms);
         for (_, worker) in self.workers.iter_mut() {
-            worker.finish_loads(now_ms);
+            if worker.finish_loads(now_ms) {
+                worker.touch();
+            }
+            self.index.describe(worker, now_ms);
         }
         self.store_load_starts_ms.retain(|at_ms| now_ms < at_ms + load_window_ms);
         let mut calls = Vec::new();
         self.cancel_obsolete_loads(now_ms);
         if may_order {
-            for demand in self.unmet_demand(now_ms).into_iter().chain(self.uncached_demand(now_ms))
-            {
-                calls.extend(self.make_available(catalog, &demand, load_window_ms, now_ms));
-            }
+            self.make_demand_available(catalog, load_window_ms, &mut calls, now_ms);
             self.add_replicas(catalog, load_window_ms, now_ms);
-            self.preload_into_free_memory(catalog, now_ms);
+            if now_ms >= self.next_preload_ms {
+                self.next_preload_ms = now_ms + PRELOAD_INTERVAL_MS;
+                self.preload_into_free_memory(catalog, now_ms);
+            }
         }
         calls.extend(self.due_calls(catalog, may_order, now_ms));
         calls
     }
 
+    /// Plans loads for all that requests wait for, until the steps of this tick are used up.
+    fn make_demand_available(
+        &mut self,
+        catalog: &Catalog,
+        load_window_ms: u64,
+        calls: &mut Vec<(String, Call)>,
+        now_ms: u64,
+    ) {
+        let mut demands = self.unmet_demand(now_ms);
+        demands.extend(self.uncached_demand(now_ms));
+        let resume_at = self.resume_at.take();
+        if let Some(key) = resume_at
+            && let Some(index) = demands.iter().position(|demand| demand.is_for(&key))
+        {
+            demands.rotate_left(index);
+        }
+        let steps_limit = self.steps + MAX_STEPS_PER_TICK;
+        for demand in demands {
+            if self.steps >= steps_limit {
+                self.resume_at = Some((demand.model, demand.adapter));
+                break;
+            }
+            calls.extend(self.make_available(catalog, &demand, load_window_ms, now_ms));
+        }
+    }
+
     /// Cancels pending loads that are stalled and whose model is ready on another worker by now.
     fn cancel_obsolete_loads(&mut self, now_ms: u64) {
         let mut obsolete = Vec::new();
-        for worker in self.workers.values() {
+        for worker in self.workers.values().filter(|worker| worker.is_stalled(now_ms)) {
             let Some(load) = &worker.pending_load else { continue };
-            let ready_elsewhere = || {
-                self.workers
-                    .values()
-                    .any(|other| other.service == worker.service && other.is_ready(&load.model))
-            };
-            if worker.is_stalled(now_ms) && ready_elsewhere() {
+            let entry = self.index.model_named(&worker.service, &load.model);
+            if entry.is_some_and(|entry| entry.replicas.iter().any(|replica| replica.is_ready)) {
                 obsolete.push(worker.id.clone());
             }
         }
         for id in obsolete {
-            if let Some(worker) = self.workers.get_mut(id.as_str()) {
-                worker.cancel_pending_load();
-            }
+            self.change_worker(&id, now_ms, WorkerState::cancel_pending_load);
         }
     }
 
     /// Returns what requests wait for, most urgent first.
     fn unmet_demand(&self, now_ms: u64) -> Vec<UnmetDemand> {
-        let fresh =
-            self.demand.values().filter(|report| now_ms <= report.received_ms + DEMAND_STALE_MS);
+        let reports = self.demand.values().filter(|report| report.is_fresh(now_ms));
+        let mut targets: Vec<&(usize, WaitingTarget)> =
+            reports.flat_map(|report| &report.waiting_targets).collect();
+        targets.sort_by(|(a, target_a), (b, target_b)| {
+            (a, &target_a.adapter).cmp(&(b, &target_b.adapter))
+        });
         let mut demands: Vec<UnmetDemand> = Vec::new();
-        for target in fresh.flat_map(|report| report.waiting_targets.iter()) {
-            let existing = demands.iter_mut().find(|demand| {
-                demand.service == target.service
-                    && demand.model == target.model
-                    && demand.adapter == target.adapter
-            });
-            match existing {
+        for (model, target) in targets {
+            let last = demands.last_mut();
+            match last.filter(|last| last.model == *model && last.adapter == target.adapter) {
                 Some(demand) => {
                     demand.waiting += target.waiting;
                     demand.slack_ms = demand.slack_ms.max(target.slack_ms);
                     demand.unreachable_workers.extend(target.unreachable_workers.iter().cloned());
                 }
                 None => demands.push(UnmetDemand {
-                    service: target.service.clone(),
-                    model: target.model.clone(),
+                    model: *model,
                     adapter: target.adapter.clone(),
                     waiting: target.waiting,
                     slack_ms: target.slack_ms,
@@ -156,25 +189,17 @@
         demands
     }
 
-    /// Returns the recently requested models that are only in the weight store, with their request
-    /// rates, highest first.
-    fn uncached_models(&self, now_ms: u64) -> Vec<(f64, &ModelKey)> {
-        let mut available: Vec<(&str, &str)> = Vec::new();
-        for worker in self.workers.values().filter(|worker| !worker.leaving) {
-            let ready = worker.models.keys().filter(|name| worker.is_ready(name));
-            let cached = worker.in_memory.iter().chain(&worker.on_disk);
-            let cached = cached.filter(|_| worker.is_responsive());
-            available
-                .extend(ready.chain(cached).map(|name| (worker.service.as_str(), name.as_str())));
-        }
-        available.sort_unstable();
-        let requested =
-            self.usage.iter().filter(|(_, usage)| now_ms <= usage.last_used_ms + RECENT_REQUEST_MS);
-        let rows = requested.filter(|((service, model), _)| {
-            available.binary_search(&(service.as_str(), model.as_str())).is_err()
-        });
-        let mut rows: Vec<(f64, &ModelKey)> =
-            rows.map(|(key, usage)| (usage.rate_per_s(now_ms), key)).collect();
+    /// Returns the numbers of the recently requested models that are only in the weight store, with
+    /// their request rates, highest first.
+    fn uncached_models(&self, now_ms: u64) -> Vec<(f64, usize)> {
+        let is_requested = |entry: &ModelEntry| {
+            let last_used_ms = entry.usage.as_ref().map(|usage| usage.last_used_ms);
+            last_used_ms.is_some_and(|used_ms| now_ms <= used_ms + RECENT_REQUEST_MS)
+        };
+        let entries = self.index.models().iter().enumerate();
+        let uncached = entries.filter(|(_, entry)| !entry.is_available() && is_requested(entry));
+        let mut rows: Vec<(f64, usize)> =
+            uncached.map(|(number, entry)| (entry.rate_per_s(now_ms), number)).collect();
         rows.sort_by(|(a, _), (b, _)| b.total_cmp(a));
         rows
     }
@@ -185,9 +210,8 @@
         if self.store_loads_in_progress() >= self.store_limiter.limit() {
             return Vec::new();
         }
-        let to_demand = |(rate_per_s, (service, model)): (f64, &ModelKey)| UnmetDemand {
-            service: service.clone(),
-            model: model.clone(),
+        let to_demand = |(rate_per_s, model): (f64, usize)| UnmetDemand {
+            model,
             adapter: None,
             waiting: (rate_per_s * RECENT_REQUEST_MS as f64 / 1000.0).ceil() as u32,
             slack_ms: 0,
@@ -196,13 +220,6 @@
         self.uncached_models(now_ms).into_iter().map(to_demand).collect()
     }
 
-    fn is_cached_on_any_worker(&self, service: &str, model: &str) -> bool {
-        let of_service = self.workers.values().filter(|worker| {
-            worker.service == service && !worker.leaving && worker.is_responsive()
-        });
-        of_service.into_iter().any(|worker| worker.has_cached_copy(model))
-    }
-
     /// Returns up to `max_models` models that are in demand and will not be usable for a while,
     /// since they are only in the weight store; sorted by tag.
     pub fn delayed_models(
@@ -212,12 +229,14 @@
         now_ms: u64,
     ) -> Vec<DelayedModel> {
         let mut queued = 0;
-        let rows = self.uncached_models(now_ms).into_iter().filter_map(|(_, (service, model))| {
+        let loads_in_progress = self.store_loads_in_progress();
+        let rows = self.uncached_models(now_ms).into_iter().filter_map(|(_, number)| {
+            let (service, model) = &self.index.model(number).key;
             let load_ms = catalog.engine(service)?.models.get(model.as_str())?.store_load_ms;
             let usable_in_ms =
                 self.store_load_remaining_ms(service, model, now_ms).unwrap_or_else(|| {
                     queued += 1;
-                    self.queued_store_load_remaining_ms(load_ms, queued, now_ms)
+                    self.queued_store_load_remaining_ms(load_ms, queued, loads_in_progress, now_ms)
                 });
             let delayed =
                 DelayedModel { model: tag(&[service, model]), usable_in_ms: usable_in_ms as u32 };
@@ -237,11 +256,17 @@
     }
 
     /// Returns the time until the load at `position` (from 1) of the queue for the weight store is
-    /// expected to finish, in ms, if each load takes `load_ms`.
-    fn queued_store_load_remaining_ms(&self, load_ms: u64, position: u64, now_ms: u64) -> u64 {
+    /// expected to finish, in ms, if each load takes `load_ms` and `loads_in_progress` are running.
+    fn queued_store_load_remaining_ms(
+        &self,
+        load_ms: u64,
+        position: u64,
+        loads_in_progress: usize,
+        now_ms: u64,
+    ) -> u64 {
         let limit = self.store_limiter.limit();
         let batches = position.div_ceil(limit as u64);
-        if self.store_loads_in_progress() < limit {
+        if loads_in_progress < limit {
             return batches * load_ms;
         }
         let next_end_ms = self
@@ -261,38 +286,32 @@
         load_window_ms: u64,
         now_ms: u64,
     ) -> Option<(String, Call)> {
-        let engine = catalog.engine(&demand.service)?;
-        engine.models.get(demand.model.as_str())?;
-        let usable = |worker: &&WorkerState| {
-            worker.service == demand.service
-                && !worker.leaving
-                && worker.is_responsive()
-                && !demand.unreachable_workers.contains(&worker.id)
-        };
-        let is_ready =
-            self.workers.values().filter(usable).any(|worker| worker.is_ready(&demand.model));
-        if is_ready {
-            let adapter = demand.adapter.as_deref()?;
-            return self.load_adapter(engine, demand, adapter, now_ms);
+        self.steps += 1;
+        let entry = self.index.model(demand.model);
+        let (service, model) = entry.key.clone();
+        let engine = catalog.engine(&service)?;
+        engine.models.get(model.as_str())?;
+        let is_cached = !entry.cached.is_empty();
+        let mut is_underway = false;
+        for replica in &entry.replicas {
+            let is_reachable = || {
+                let id = self.index.worker_id(replica.worker);
+                !demand.unreachable_workers.iter().any(|unreachable| unreachable == id)
+            };
+            self.steps += 1;
+            if replica.is_ready && is_reachable() {
+                let adapter = demand.adapter.as_deref()?;
+                return self.load_adapter(engine, demand, adapter, now_ms);
+            }
+            is_underway |= !replica.is_ready && is_reachable();
         }
-        if self
-            .workers
-            .values()
-            .filter(usable)
-            .any(|worker| worker.is_load_underway(&demand.model, now_ms))
-        {
+        if is_underway || (!is_cached && !self.may_load_from_store(engine, load_window_ms)) {
             return None;
         }
         let waiting_requests = f64::from(demand.waiting.max(1));
-        let placement = self.best_placement(
-            engine,
-            &demand.service,
-            &demand.model,
-            waiting_requests,
-            false,
-            now_ms,
-        )?;
-        self.plan_load(placement, &demand.model, load_window_ms, engine, now_ms);
+        let placement =
+            self.best_placement(engine, demand.model, waiting_requests, false, now_ms)?;
+        self.plan_load(placement, &model, load_window_ms, engine, now_ms);
         None
     }
 
@@ -305,23 +324,18 @@
         adapter: &str,
         now_ms: u64,
     ) -> Option<(String, Call)> {
+        let entry = self.index.model(demand.model);
+        let model = entry.key.1.clone();
         let has_adapter = |worker: &WorkerState| {
-            worker
-                .models
-                .get(demand.model.as_str())
-                .is_some_and(|model| model.adapters.contains(adapter))
+            let known = worker.models.get(model.as_str());
+            known.is_some_and(|known| known.adapters.contains(adapter))
         };
-        let candidates: Vec<&WorkerState> = self
-            .workers
-            .values()
-            .filter(|worker| {
-                worker.service == demand.service
-                    && !worker.leaving
-                    && worker.is_responsive()
-                    && worker.is_ready(&demand.model)
-                    && !demand.unreachable_workers.contains(&worker.id)
-            })
+        let ready = entry.replicas.iter().filter(|replica| replica.is_ready);
+        let candidates: Vec<&WorkerState> = ready
+            .filter_map(|replica| self.workers.get(self.index.worker_id(replica.worker)))
+            .filter(|worker| !demand.unreachable_workers.contains(&worker.id))
             .collect();
+        self.steps += candidates.len() as u64;
         if candidates.iter().any(|worker| has_adapter(worker)) {
             return None;
         }
@@ -331,58 +345,61 @@
         let id = callable
             .min_by_key(|worker| {
                 let full = worker.adapter_count() >= engine.adapter_slots;
-                (
-                    full,
-                    self.running_requests(&worker.id, &demand.model, now_ms),
-                    worker.adapter_count(),
-                )
+                let running = self.index.running_at(&worker.id, demand.model);
+                (full, running, worker.adapter_count())
             })
             .map(|worker| worker.id.clone())?;
         let fence = self.fence;
         let worker = self.workers.get_mut(id.as_str())?;
         let order = if worker.adapter_count() >= engine.adapter_slots {
-            let (model, idle) = least_recently_used_adapter(worker, now_ms)?;
-            worker.order(OrderKind::Unload, &model, Some(&idle), fence)?
+            let (held, idle) = least_recently_used_adapter(worker, now_ms)?;
+            worker.order(OrderKind::Unload, &held, Some(&idle), fence)?
         } else {
-            worker.order(OrderKind::Load, &demand.model, Some(adapter), fence)?
+            worker.order(OrderKind::Load, &model, Some(adapter), fence)?
         };
         worker.call_in_flight = true;
         Some((id, Call::Order(order)))
     }
 
-    /// Returns the placement of `model` that adds least waiting time, if `waiting_requests`
-    /// requests wait for the model. With `skip_limited`, workers that limit their requests are
-    /// excluded.
+    /// Returns the placement of the model with this number that adds least waiting time, if
+    /// `waiting_requests` requests wait for it. With `skip_limited`, workers that limit their requests
+    /// are excluded.
     pub(super) fn best_placement(
-        &self,
+        &mut self,
         engine: &Engine,
-        service: &str,
-        model: &str,
+        model: usize,
         waiting_requests: f64,
         skip_limited: bool,
         now_ms: u64,
     ) -> Option<ModelPlacement> {
-        let model_info = engine.models.get(model)?;
-        let is_cached = self.is_cached_on_any_worker(service, model);
+        let entry = self.index.model(model);
+        let (service, name) = &entry.key;
+        let model_info = engine.models.get(name.as_str())?;
+        let from_store = entry.cached.is_empty();
+        let cached = entry.cached.iter().map(|number| self.index.worker_id(*number));
+        let candidates: Vec<&WorkerState> = if from_store {
+            self.workers.values().filter(|worker| worker.service == *service).collect()
+        } else {
+            cached.filter_map(|id| self.workers.get(id)).collect()
+        };
+        let mut steps = 0;
         let mut best: Option<(f64, ModelPlacement)> = None;
-        for worker in self.workers.values() {
-            let is_candidate = worker.service == service
-                && !worker.models.contains(model)
-                && !(skip_limited && worker.limit_per_s.is_some());
-            if !is_candidate || !worker.can_start_load(now_ms) {
-                continue;
-            }
-            let from_store = !worker.has_cached_copy(model);
-            if from_store && is_cached {
+        for worker in candidates {
+            steps += 1;
+            if worker.models.contains(name.as_str())
+                || (skip_limited && worker.limit_per_s.is_some())
+                || !worker.can_start_load(now_ms)
+            {
                 continue;
             }
-            let load_ms = if worker.in_memory.iter().any(|name| name == model) {
+            let load_ms = if from_store {
+                model_info.store_load_ms
+            } else if worker.in_memory.iter().any(|cached| cached == name) {
                 model_info.memory_load_ms
-            } else if !from_store {
-                model_info.disk_load_ms
             } else {
-                model_info.store_load_ms
+                model_info.disk_load_ms
             };
+            steps += worker.models.len() as u64;
             let Some((evict, eviction_cost_ms)) =
                 self.choose_evictions(engine, worker, model_info.size_mb, now_ms)
             else {
@@ -391,18 +408,14 @@
             if eviction_cost_ms > waiting_requests * MAX_COST_PER_WAITING_REQUEST_MS {
                 continue;
             }
-            let domain_has_replica = self.workers.values().any(|other| {
-                other.service == service && other.domain == worker.domain && other.is_ready(model)
-            });
-            let domain_penalty_ms = if domain_has_replica { SAME_DOMAIN_PENALTY_MS } else { 0.0 };
             let limit_penalty_ms =
                 if worker.limit_per_s.is_some() { LIMITED_PENALTY_MS } else { 0.0 };
             let cost = waiting_requests * (load_ms as f64 + limit_penalty_ms)
                 + eviction_cost_ms
-                + domain_penalty_ms;
+                + self.domain_penalty_ms(entry, worker);
             if best.as_ref().is_none_or(|(lowest, _)| cost < *lowest) {
                 let evicts_running =
-                    evict.iter().any(|name| self.running_requests(&worker.id, name, now_ms) > 0);
+                    evict.iter().any(|victim| self.running_requests(worker, victim) > 0);
                 let placement = ModelPlacement {
                     worker: worker.id.clone(),
                     evict,
@@ -414,9 +427,25 @@
                 best = Some((cost, placement));
             }
         }
+        self.steps += steps;
         best.map(|(_, placement)| placement)
     }
 
+    fn domain_penalty_ms(&self, entry: &ModelEntry, worker: &WorkerState) -> f64 {
+        let ready = entry.replicas.iter().filter(|replica| replica.is_ready);
+        let others = ready.filter_map(|replica| {
+            self.workers.get(self.index.worker_id(replica.worker)).map(|other| &other.domain)
+        });
+        let has_replica = others.into_iter().any(|domain| *domain == worker.domain);
+        if has_replica { SAME_DOMAIN_PENALTY_MS } else { 0.0 }
+    }
+
+    /// Returns the requests in progress for `model` at `worker`, over all instances.
+    fn running_requests(&self, worker: &WorkerState, model: &str) -> u32 {
+        let number = self.index.model_number(&worker.service, model);
+        number.map_or(0, |number| self.index.running_at(&worker.id, number))
+    }
+
     /// Returns the models to evict from `worker` so that `size_mb` are free, and the cost of
     /// evicting them; `None` if this cannot be done.
     fn choose_evictions(
@@ -471,30 +500,25 @@
         now_ms: u64,
     ) -> f64 {
         let reload_ms = engine.models.get(model).map_or(0, |model| model.disk_load_ms);
-        let rate_per_s = self.expected_rate(engine, &worker.service, model, now_ms);
+        let Some(number) = self.index.model_number(&worker.service, model) else { return 0.0 };
+        let entry = self.index.model(number);
+        let rate_per_s = expected_rate(engine, entry, now_ms);
         let cost_ms = rate_per_s * EVICTION_HORIZON_S * reload_ms as f64;
-        let other_replicas =
-            self.replica_count(&worker.service, model, now_ms).saturating_sub(1) as u32;
-        let running = self.running_requests_total(model, now_ms);
+        let other_replicas = entry.replicas.len().saturating_sub(1) as u32;
         let others_suffice = other_replicas > 0
-            && running <= other_replicas * RUNNING_REQUESTS_PER_REPLICA
-            && !self.is_short_of_limits(&worker.service, model, Some(&worker.id), now_ms);
-        let is_busy = self.running_requests(&worker.id, model, now_ms) > 0;
+            && entry.running <= other_replicas * requests_per_replica(engine)
+            && !self.is_short_of_limits(entry, Some(&worker.id), now_ms);
+        let is_busy = self.index.running_at(&worker.id, number) > 0;
         let factor = if others_suffice { REPLICATED_COST_FACTOR } else { 1.0 };
         cost_ms * factor + if is_busy { BUSY_EVICTION_COST_MS } else { 0.0 }
     }
 
-    /// Returns the expected requests per second for `model`.
-    pub(super) fn expected_rate(
-        &self,
-        engine: &Engine,
-        service: &str,
-        model: &str,
-        now_ms: u64,
-    ) -> f64 {
-        let adapters = engine.models.get(model).map_or(0, |model| model.adapter_count);
-        let prior = PRIOR_RATE + PRIOR_RATE_PER_ADAPTER * f64::from(adapters);
-        self.rate_per_s(service, model, now_ms).max(prior)
+    /// Returns whether a further load from the weight store may start.
+    fn may_load_from_store(&self, engine: &Engine, load_window_ms: u64) -> bool {
+        let window_s = load_window_ms as f64 / 1000.0;
+        let max_starts = engine.store_loads_per_s * window_s * STORE_BUDGET_PCT / 100.0;
+        (self.store_load_starts_ms.len() as f64) < max_starts
+            && self.store_loads_in_progress() < self.store_limiter.limit()
     }
 
     /// Plans a load on the worker of `placement`, unless that would exceed the limits on loads from
@@ -508,36 +532,37 @@
         now_ms: u64,
     ) {
         if placement.from_store {
-            let window_s = load_window_ms as f64 / 1000.0;
-            let max_starts = engine.store_loads_per_s * window_s * STORE_BUDGET_PCT / 100.0;
-            let recent = self.store_load_starts_ms.len();
-            if recent as f64 >= max_starts
-                || self.store_loads_in_progress() >= self.store_limiter.limit()
-            {
+            if !self.may_load_from_store(engine, load_window_ms) {
                 return;
             }
             self.store_load_starts_ms.push(now_ms);
         }
-        let Some(worker) = self.workers.get_mut(placement.worker.as_str()) else { return };
-        let usage = self.usage.get(&(worker.service.clone(), model.to_owned()));
+        let Some(worker) = self.workers.get(placement.worker.as_str()) else { return };
+        let entry = self.index.model_named(&worker.service, model);
         self.decisions.push(Decision {
             worker: placement.worker.clone(),
             model: model.to_owned(),
             evict: placement.evict.clone(),
             load_ms: placement.load_ms,
             eviction_cost_ms: placement.eviction_cost_ms,
-            rate_per_s: usage.map_or(0.0, |usage| usage.rate_per_s(now_ms)),
+            rate_per_s: entry.map_or(0.0, |entry| entry.rate_per_s(now_ms)),
             from_store: placement.from_store,
             store_load_limit: self.store_limiter.limit(),
         });
-        let notice_ms = if placement.evict.is_empty() { 0 } else { EVICTION_NOTICE_MS };
-        worker.pending_load = Some(PendingLoad {
+        let notice_ms = match placement.evict.is_empty() {
+            true => 0,
+            false => EVICTION_NOTICE_MS + self.update_interval_ms,
+        };
+        let pending_load = PendingLoad {
             model: model.to_owned(),
             evict: placement.evict,
             not_before_ms: now_ms + notice_ms,
             load_ms: placement.load_ms,
             from_store: placement.from_store,
             evicts_running: placement.evicts_running,
+        };
+        self.change_worker(&placement.worker, now_ms, |worker| {
+            worker.pending_load = Some(pending_load);
         });
     }
 
@@ -563,6 +588,7 @@
             let Some(worker) = self.workers.get(id.as_str()) else { continue };
             let Some(engine) = catalog.engine(&worker.service) else { continue };
             let free_mb = worker.free_mb(engine);
+            self.steps += 1;
             let cached = worker.in_memory.iter().chain(&worker.on_disk);
             let fitting = cached.filter(|name| {
                 let size_mb = engine.models.get(name.as_str()).map(|model| model.size_mb);
@@ -570,8 +596,9 @@
                     && !worker.models.contains(name.as_str())
             });
             let ranked = fitting.filter_map(|name| {
-                let replicas = self.replica_count(&worker.service, name, now_ms);
-                let rate = self.expected_rate(engine, &worker.service, name, now_ms);
+                let entry = self.index.model_named(&worker.service, name)?;
+                let replicas = entry.replicas.len();
+                let rate = expected_rate(engine, entry, now_ms);
                 let is_useful = replicas == 0 || rate >= PRELOAD_REPLICA_RATE;
                 is_useful.then(|| (rate * REPLICATED_COST_FACTOR.powi(replicas as i32), name))
             });
@@ -591,9 +618,7 @@
                 from_store: false,
                 evicts_running: false,
             };
-            if let Some(worker) = self.workers.get_mut(id.as_str()) {
-                worker.pending_load = Some(pending_load);
-            }
+            self.change_worker(&id, now_ms, |worker| worker.pending_load = Some(pending_load));
         }
     }
 
@@ -625,10 +650,32 @@
     }
 }
 
+impl UnmetDemand {
+    fn is_for(&self, (model, adapter): &TargetKey) -> bool {
+        self.model == *model && self.adapter == *adapter
+    }
+}
+
+/// Returns the expected requests per second for a model.
+fn expected_rate(engine: &Engine, entry: &ModelEntry, now_ms: u64) -> f64 {
+    let adapters = engine.models.get(entry.key.1.as_str()).map_or(0, |model| model.adapter_count);
+    let prior = PRIOR_RATE + PRIOR_RATE_PER_ADAPTER * f64::from(adapters);
+    entry.rate_per_s(now_ms).max(prior)
+}
+
+/// Returns the number of concurrent requests that one replica serves well along with the other load of
+/// its worker.
+pub(super) fn requests_per_replica(engine: &Engine) -> u32 {
+    match engine.slots {
+        0 => DEFAULT_REQUESTS_PER_REPLICA,
+        slots => (slots / SLOTS_PER_REPLICA_REQUEST).max(1),
+    }
+}
+
 /// Returns the next order of the pending load of `worker`: an eviction, or the load itself.
 fn next_order(worker: &mut WorkerState, engine: &Engine, fence: u64, now_ms: u64) -> Option<Call> {
-    let load = worker.pending_load.clone()?;
-    if now_ms < load.not_before_ms || worker.load_remaining_ms(now_ms) > 0 {
+    let load = worker.pending_load.as_ref().filter(|load| now_ms >= load.not_before_ms)?.clone();
+    if worker.load_remaining_ms(now_ms) > 0 {
         return None;
     }
     if let Some(victim) = load.evict.first() {
@@ -637,6 +684,7 @@
     let size_mb = engine.models.get(load.model.as_str()).map_or(u64::MAX, |model| model.size_mb);
     if worker.leaving || worker.free_mb(engine) < size_mb {
         worker.pending_load = None;
+        worker.touch();
         return None;
     }
     worker.order(OrderKind::Load, &load.model, None, fence).map(Call::Order)
--- a/lovageridge/src/gateway/fleet/replicas.rs
+++ b/lovageridge/src/gateway/fleet/replicas.rs
@@ -2,7 +2,8 @@
 
 use crate::gateway::catalog::Catalog;
 use crate::gateway::fleet::Fleet;
-use crate::gateway::fleet::plan::RUNNING_REQUESTS_PER_REPLICA;
+use crate::gateway::fleet::index::ModelEntry;
+use crate::gateway::fleet::plan::requests_per_replica;
 
 /// Requests per second from which a model gets a second replica.
 const SECOND_REPLICA_RATE: f64 = 3.0;
@@ -13,76 +14,47 @@
 const LIMIT_SHARE_PCT: f64 = 50.0;
 
 impl Fleet {
-    /// Returns the number of replicas that are ready, being loaded or planned.
-    pub(super) fn replica_count(&self, service: &str, model: &str, now_ms: u64) -> usize {
-        let workers = self.workers.values().filter(|worker| {
-            worker.service == service && !worker.leaving && worker.is_responsive()
-        });
-        workers
-            .filter(|worker| worker.is_ready(model) || worker.is_load_underway(model, now_ms))
-            .count()
-    }
-
-    /// Returns whether all workers with a replica of `model`, other than `except`, limit their requests
+    /// Returns whether all workers with a replica of a model, other than `except`, limit their requests
     /// and their limits are too low for its request rate.
     pub(super) fn is_short_of_limits(
         &self,
-        service: &str,
-        model: &str,
+        entry: &ModelEntry,
         except: Option<&str>,
         now_ms: u64,
     ) -> bool {
-        let replicas = self.workers.values().filter(|worker| {
-            worker.service == service
-                && !worker.leaving
-                && worker.is_responsive()
-                && except != Some(worker.id.as_str())
-                && (worker.is_ready(model) || worker.is_load_underway(model, now_ms))
-        });
+        let ids = entry.replicas.iter().map(|replica| self.index.worker_id(replica.worker));
+        let replicas = ids.filter(|id| except != Some(id)).filter_map(|id| self.workers.get(id));
         let limits: Option<Vec<f64>> = replicas.map(|worker| worker.limit_per_s).collect();
         let Some(limits) = limits.filter(|limits| !limits.is_empty()) else { return false };
         let usable_per_s = limits.iter().sum::<f64>() * LIMIT_SHARE_PCT / 100.0;
-        usable_per_s < self.rate_per_s(service, model, now_ms)
+        usable_per_s < entry.rate_per_s(now_ms)
     }
 
     /// Adds a second replica of busy models, so that one remains when a worker fails, further replicas
     /// of models with many requests in progress, and replicas of models that only workers at their
     /// limits hold.
     pub(super) fn add_replicas(&mut self, catalog: &Catalog, load_window_ms: u64, now_ms: u64) {
-        let busy: Vec<(String, String)> = self
-            .usage
-            .iter()
-            .filter(|((service, name), usage)| {
-                usage.rate_per_s(now_ms) >= SECOND_REPLICA_RATE
-                    || self.running_requests_total(name, now_ms) > RUNNING_REQUESTS_PER_REPLICA
-                    || self.is_short_of_limits(service, name, None, now_ms)
-            })
-            .map(|(key, _)| key.clone())
-            .collect();
-        for (service, model) in busy {
-            let Some(engine) = catalog.engine(&service) else { continue };
-            let rate = self.rate_per_s(&service, &model, now_ms);
-            let replicas_for_rate = 1 + usize::from(rate >= SECOND_REPLICA_RATE);
-            let running = self.running_requests_total(&model, now_ms);
-            let replicas_for_running = 1 + (running / RUNNING_REQUESTS_PER_REPLICA) as usize;
-            let is_short = self.is_short_of_limits(&service, &model, None, now_ms);
-            if !is_short
-                && self.replica_count(&service, &model, now_ms)
-                    >= replicas_for_rate.max(replicas_for_running)
-            {
+        for number in 0..self.index.models().len() {
+            let entry = self.index.model(number);
+            let is_possible = entry.usage.is_some() && !entry.cached.is_empty();
+            if !is_possible || entry.replicas.iter().any(|replica| !replica.is_ready) {
                 continue;
             }
-            if self.workers.values().any(|worker| worker.is_load_underway(&model, now_ms)) {
+            let (service, model) = &entry.key;
+            let Some(engine) = catalog.engine(service) else { continue };
+            let rate = entry.rate_per_s(now_ms);
+            let replicas_for_rate = 1 + usize::from(rate >= SECOND_REPLICA_RATE);
+            let replicas_for_running = 1 + (entry.running / requests_per_replica(engine)) as usize;
+            let wanted = replicas_for_rate.max(replicas_for_running);
+            let is_short = self.is_short_of_limits(entry, None, now_ms);
+            if wanted == 1 && !is_short || !is_short && entry.replicas.len() >= wanted {
                 continue;
             }
-            let Some(placement) =
-                self.best_placement(engine, &service, &model, 1.0, is_short, now_ms)
-            else {
+            let model = model.clone();
+            let Some(placement) = self.best_placement(engine, number, 1.0, is_short, now_ms) else {
                 continue;
             };
-            if placement.eviction_cost_ms <= rate * MAX_REPLICA_COST_PER_RATE_MS
-                && !placement.from_store
-            {
+            if placement.eviction_cost_ms <= rate * MAX_REPLICA_COST_PER_RATE_MS {
                 self.plan_load(placement, &model, load_window_ms, engine, now_ms);
             }
         }
--- a/lovageridge/src/gateway/fleet/residency.rs
+++ b/lovageridge/src/gateway/fleet/residency.rs
@@ -12,11 +12,19 @@
 
 /// Heartbeat interval of the lead, in ms; peers consider it lost after 900 ms, three heartbeats.
 pub const HEARTBEAT_MS: u64 = 300;
-/// Unchanged workers per heartbeat; covers all workers of a small deployment.
-const ROTATION_WORKERS: usize = 12;
-/// Workers per heartbeat whose requests in progress are reported: those with the busy models of a
-/// deployment of 90 workers.
-pub const MAX_WORKER_LOADS: usize = 36;
+/// Least number of unchanged workers per heartbeat; covers all workers of a small deployment.
+const ROTATION_WORKERS_MIN: usize = 12;
+/// Heartbeats in which all workers are sent, if they are many; they take less time than a view that is
+/// not confirmed stays in use.
+const ROTATION_HEARTBEATS: usize = 8;
+/// Least number of workers per heartbeat whose requests in progress are reported.
+const WORKER_LOADS_MIN: usize = 36;
+/// Share of all workers whose requests in progress are reported, in percent: those with the busy models.
+const WORKER_LOADS_PCT: usize = 40;
+/// Instances up to which a change is published as soon as it is known.
+const PROMPT_PEERS: usize = 32;
+/// Instances for which the shortest time between two updates grows by one ms.
+const PEERS_PER_INTERVAL_MS: usize = 8;
 /// Delayed models per heartbeat; together with the loads of workers they fit into a narrow link.
 pub const MAX_DELAYED_MODELS: usize = 12;
 /// Heartbeats that repeat a change, so that it arrives despite two lost datagrams in a row.
@@ -28,6 +36,18 @@
     repeats_left: u8,
 }
 
+/// Returns the number of workers per heartbeat whose requests in progress are reported, out of
+/// `workers`.
+pub fn max_worker_loads(workers: usize) -> usize {
+    (workers * WORKER_LOADS_PCT / 100).max(WORKER_LOADS_MIN)
+}
+
+/// Returns the shortest time between two updates for `peers` instances, in ms. Each costs the lead a
+/// datagram for many of them, so changes are collected meanwhile.
+pub fn update_interval_ms(peers: usize) -> u64 {
+    (peers.saturating_sub(PROMPT_PEERS) / PEERS_PER_INTERVAL_MS) as u64
+}
+
 /// An update to send now.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DueUpdate {
@@ -42,6 +62,7 @@
 pub struct ResidencyPublisher {
     fence: u64,
     last_heartbeat_ms: Option<u64>,
+    last_update_ms: u64,
     // First worker of the rotation in the next heartbeat.
     next_worker: String,
     sent: Table<String, SentView>,
@@ -49,29 +70,37 @@
 }
 
 impl ResidencyPublisher {
-    /// Returns the update to send to all peers now; `None` if there is nothing to send. A new
-    /// `fence` starts from an empty state.
+    /// Returns whether `interval_ms` have passed since the last update of the lead with `fence`.
+    pub fn may_update(&self, fence: u64, interval_ms: u64, now_ms: u64) -> bool {
+        self.fence != fence || now_ms >= self.last_update_ms + interval_ms
+    }
+
+    /// Returns the update to send to all peers now; `None` if there is nothing to send. `views` are
+    /// sorted by id. A new `fence` starts from an empty state.
     pub fn next_update(
         &mut self,
         fence: u64,
-        views: Vec<WorkerView>,
+        views: &[&WorkerView],
         now_ms: u64,
     ) -> Option<DueUpdate> {
         if self.fence != fence {
             *self = Self { fence, ..Self::default() };
         }
-        self.sent.retain(|id, _| views.iter().any(|view| view.id == *id));
+        self.sent.retain(|id, _| views.binary_search_by(|view| view.id.cmp(id)).is_ok());
         let is_heartbeat =
             self.last_heartbeat_ms.is_none_or(|heartbeat_ms| now_ms >= heartbeat_ms + HEARTBEAT_MS);
         let mut due = Vec::new();
-        for view in views {
+        for &view in views {
             let last = self.sent.get(view.id.as_str());
-            if last.is_none_or(|last| last.view != view) {
+            if last.is_none_or(|last| last.view != *view) {
                 let sent = SentView { view: view.clone(), repeats_left: CHANGE_REPEATS };
                 self.sent.insert(view.id.clone(), sent);
-                due.push(view);
+                due.push(view.clone());
             }
         }
+        if is_heartbeat || !due.is_empty() {
+            self.last_update_ms = now_ms;
+        }
         if !is_heartbeat {
             return (!due.is_empty()).then_some(DueUpdate { views: due, is_heartbeat });
         }
@@ -91,10 +120,11 @@
     }
 
     fn add_rotation(&mut self, due: &mut Vec<WorkerView>) {
+        let count = self.sent.len().div_ceil(ROTATION_HEARTBEATS).max(ROTATION_WORKERS_MIN);
         let after = self.sent.iter().filter(|(id, _)| **id >= self.next_worker);
         let before = self.sent.iter().filter(|(id, _)| **id < self.next_worker);
         let mut rotation = after.chain(before).map(|(_, sent)| &sent.view);
-        for view in rotation.by_ref().take(ROTATION_WORKERS) {
+        for view in rotation.by_ref().take(count) {
             if due.iter().all(|known| known.id != view.id) {
                 due.push(view.clone());
             }
--- a/lovageridge/src/gateway/fleet/residency/tests.rs
+++ b/lovageridge/src/gateway/fleet/residency/tests.rs
@@ -7,8 +7,8 @@
 use crate::gateway::fleet::residency::DueUpdate;
 use crate::gateway::fleet::residency::HEARTBEAT_MS;
 use crate::gateway::fleet::residency::MAX_DELAYED_MODELS;
-use crate::gateway::fleet::residency::MAX_WORKER_LOADS;
 use crate::gateway::fleet::residency::ResidencyPublisher;
+use crate::gateway::fleet::residency::max_worker_loads;
 use crate::gateway::peers::DelayedModel;
 use crate::gateway::peers::FleetStatus;
 use crate::gateway::peers::WorkerLoad;
@@ -38,12 +38,23 @@
     (0..count).map(|at| view(at, at)).collect()
 }
 
+/// Returns the next update of `publisher` for these views.
+fn update_for(
+    publisher: &mut ResidencyPublisher,
+    fence: u64,
+    views: &[WorkerView],
+    now_ms: u64,
+) -> Option<DueUpdate> {
+    let views: Vec<&WorkerView> = views.iter().collect();
+    publisher.next_update(fence, &views, now_ms)
+}
+
 fn status() -> FleetStatus {
     let load = |at| WorkerLoad { worker: tag(&[&format!("i-{at:010}")]), running: 200 };
     let delayed =
         |at| DelayedModel { model: tag(&[&format!("daka5{at:05}")]), usable_in_ms: 30_000 };
     FleetStatus {
-        loads: (0..MAX_WORKER_LOADS).map(load).collect(),
+        loads: (0..max_worker_loads(90)).map(load).collect(),
         delayed_models: (0..MAX_DELAYED_MODELS).map(delayed).collect(),
     }
 }
@@ -57,14 +68,14 @@
 #[test]
 fn residency_updates_fit_into_a_narrow_link() {
     let mut publisher = ResidencyPublisher::default();
-    publisher.next_update(7, views(90), 0);
+    update_for(&mut publisher, 7, &views(90), 0);
     let seconds = 10;
     let mut bytes = 0;
     for now_ms in (15..seconds * 1000).step_by(15) {
         let mut current = views(90);
         // Four workers change each second.
         current[(now_ms / 250 % 90) as usize] = view((now_ms / 250 % 90) as usize, 500);
-        let update = publisher.next_update(7, current, now_ms);
+        let update = update_for(&mut publisher, 7, &current, now_ms);
         let Some(update) = update else { continue };
         let status = if update.is_heartbeat { encoded_len(&status()) } else { 0 };
         bytes += (encoded_len(&update.views) + status) * PEERS;
@@ -76,10 +87,10 @@
 #[test]
 fn every_worker_is_sent_again_before_its_view_expires() {
     let mut publisher = ResidencyPublisher::default();
-    publisher.next_update(7, views(90), 0);
+    update_for(&mut publisher, 7, &views(90), 0);
     let mut sent_ms = vec![0; 90];
     for now_ms in (HEARTBEAT_MS..30_000).step_by(HEARTBEAT_MS as usize) {
-        for view in publisher.next_update(7, views(90), now_ms).expect("a heartbeat").views {
+        for view in update_for(&mut publisher, 7, &views(90), now_ms).expect("a heartbeat").views {
             let at: usize = view.id[2..].parse().expect("a number");
             sent_ms[at] = now_ms;
         }
@@ -95,15 +106,15 @@
 fn a_change_is_sent_at_once_and_repeated_twice() {
     let mut publisher = ResidencyPublisher::default();
     for now_ms in (0..=900).step_by(300) {
-        publisher.next_update(7, views(40), now_ms);
+        update_for(&mut publisher, 7, &views(40), now_ms);
     }
     let mut changed = views(40);
     changed[30] = view(30, 900);
-    let update = publisher.next_update(7, changed.clone(), 915).expect("the change");
+    let update = update_for(&mut publisher, 7, &changed, 915).expect("the change");
     assert_eq!(update, DueUpdate { views: vec![changed[30].clone()], is_heartbeat: false });
-    assert_eq!(publisher.next_update(7, changed.clone(), 930), None);
+    assert_eq!(update_for(&mut publisher, 7, &changed, 930), None);
     for now_ms in [1200, 1500] {
-        let update = publisher.next_update(7, changed.clone(), now_ms).expect("a heartbeat");
+        let update = update_for(&mut publisher, 7, &changed, now_ms).expect("a heartbeat");
         assert!(update.views.contains(&changed[30]), "change not repeated at {now_ms} ms");
     }
 }
@@ -111,10 +122,10 @@
 #[test]
 fn each_heartbeat_covers_all_workers_of_a_small_deployment() {
     let mut publisher = ResidencyPublisher::default();
-    publisher.next_update(7, views(12), 0);
+    update_for(&mut publisher, 7, &views(12), 0);
     for now_ms in [900, 1200, 1500] {
         assert_eq!(
-            publisher.next_update(7, views(12), now_ms).map(|update| update.views.len()),
+            update_for(&mut publisher, 7, &views(12), now_ms).map(|update| update.views.len()),
             Some(12)
         );
     }
@@ -123,12 +134,12 @@
 #[test]
 fn new_peers_get_all_views_once_per_lead() {
     let mut publisher = ResidencyPublisher::default();
-    publisher.next_update(7, views(40), 0);
+    update_for(&mut publisher, 7, &views(40), 0);
     let names: Vec<String> = vec!["n1".to_owned(), "n2".to_owned()];
     assert_eq!(publisher.take_new_peers(names.iter()), names);
     assert!(publisher.take_new_peers(names.iter()).is_empty());
     assert_eq!(publisher.all_views().len(), 40);
-    publisher.next_update(8, views(39), 100);
+    update_for(&mut publisher, 8, &views(39), 100);
     assert_eq!(publisher.take_new_peers(names.iter()), names);
     assert_eq!(publisher.all_views().len(), 39);
 }
@@ -136,8 +147,11 @@
 #[test]
 fn removed_workers_are_no_longer_sent() {
     let mut publisher = ResidencyPublisher::default();
-    publisher.next_update(7, views(30), 0);
-    publisher.next_update(7, views(3), 300);
+    update_for(&mut publisher, 7, &views(30), 0);
+    update_for(&mut publisher, 7, &views(3), 300);
     assert_eq!(publisher.all_views().len(), 3);
-    assert_eq!(publisher.next_update(7, views(3), 1200).map(|update| update.views.len()), Some(3));
+    assert_eq!(
+        update_for(&mut publisher, 7, &views(3), 1200).map(|update| update.views.len()),
+        Some(3)
+    );
 }
--- a/lovageridge/src/gateway/fleet/tests.rs
+++ b/lovageridge/src/gateway/fleet/tests.rs
@@ -27,6 +27,8 @@
 use crate::gateway::peers::tag;
 use crate::sorted::Table;
 
+mod large;
+
 const STEP_MS: u64 = 5;
 const REPORT_LAG_MS: u64 = 200;
 const DEMAND_INTERVAL_MS: u64 = 200;
--- a/lovageridge/src/gateway/fleet/worker.rs
+++ b/lovageridge/src/gateway/fleet/worker.rs
@@ -165,6 +165,7 @@
     // Consecutive reports with an order in progress.
     consecutive_busy_reports: u32,
     last_change_ms: u64,
+    revision: u64,
 }
 
 impl WorkerState {
@@ -189,6 +190,7 @@
             consecutive_failed_calls: 0,
             consecutive_busy_reports: 0,
             last_change_ms: now_ms,
+            revision: 0,
         };
         worker.set_models(&record.models, &[], now_ms);
         worker
@@ -270,6 +272,25 @@
         }
     }
 
+    /// Returns a number that changes whenever the state may have changed.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Marks the state as changed.
+    pub fn touch(&mut self) {
+        self.revision += 1;
+    }
+
+    /// Returns whether an adapter has become ready after `since_ms`.
+    pub fn has_new_adapter(&self, since_ms: u64, now_ms: u64) -> bool {
+        let adapters = self.models.values().flat_map(|model| model.adapters.values());
+        adapters.into_iter().any(|adapter| {
+            let ready_ms = adapter.ready_ms;
+            since_ms < ready_ms && ready_ms <= now_ms
+        })
+    }
+
     /// Returns whether the number of orders that the worker has accepted is known.
     pub fn is_order_count_known(&self) -> bool {
         self.orders_accepted.is_some()
--- a/lovageridge/src/gateway/metrics.rs
+++ b/lovageridge/src/gateway/metrics.rs
@@ -41,6 +41,8 @@
     pub cold_wait_s: HistogramVec,
     /// Orders to workers by kind and answer.
     pub orders_total: IntCounterVec,
+    /// Models, workers and replicas that the planner of the lead has looked at.
+    pub plan_steps_total: IntCounter,
     /// Calls to the store by kind of call and result.
     pub store_calls_total: IntCounterVec,
     /// Records of the store that could not be parsed, by topic.
@@ -147,6 +149,10 @@
                 "Waits for a model that no worker held",
                 &["route"],
             )?,
+            plan_steps_total: counter(
+                "gateway_plan_steps_total",
+                "Models, workers and replicas that the planner has looked at",
+            )?,
             orders_total: counters(
                 "gateway_orders_total",
                 "Orders to workers",
