Pass large batches of worker records on in compressed form

Cause: the records that 240 workers write between two reads, some 70 KB, did not fit into a datagram, so the reader only told how far it had read, and each of the 58 others of its domain read them from the store. Proof: the test's 140 records are over the 48 KiB up to which batches were sent. Change: batches over 8 KiB are compressed, and divided if they still do not fit. Test: one read of 240 workers' records fits into datagrams and a third of a link to 58 others; a batch that is divided has no gap.

--- a/lovageridge/src/gateway/peers.rs
+++ b/lovageridge/src/gateway/peers.rs
@@ -18,6 +18,7 @@
 use crate::hashing;
 use crate::sorted::Table;
 
+pub mod batches;
 pub mod driver;
 pub mod relays;
 
@@ -294,6 +295,8 @@
     },
     /// Limits that workers have stated recently.
     Limits(Vec<LimitReport>),
+    /// New records of the store in compressed form: a [`RecordBatch`].
+    PackedBatch(Delta),
     /// A datagram for the receiver and all other instances of its failure domain.
     Relay(Vec<u8>),
     /// A datagram of another instance that the sender passes on.
--- a/lovageridge/src/gateway/peers/driver.rs
+++ b/lovageridge/src/gateway/peers/driver.rs
@@ -32,6 +32,7 @@
 use crate::gateway::peers::RecordBatch;
 use crate::gateway::peers::Residency;
 use crate::gateway::peers::RunningRequests;
+use crate::gateway::peers::batches;
 use crate::gateway::sync;
 use crate::gateway::sync::document::StoredConfig;
 use crate::gateway::waits::Target;
@@ -54,7 +55,7 @@
 const DEMAND_BATCH_DELAY_MS: u64 = 1;
 /// Largest datagram, in bytes.
 const DATAGRAM_MAX_BYTES: usize = 64 << 10;
-/// Most bytes of records in a datagram; with their offsets they fit into 64 KiB.
+/// Largest change of a configuration in a datagram, in bytes.
 const BATCH_MAX_BYTES: usize = 48 << 10;
 /// Time without a message from the lead after which it is no longer included in messages, in ms.
 const LEAD_ADVERTISE_MS: u64 = 4000;
@@ -188,6 +189,10 @@
         Payload::Grant { number, grant, report } => {
             limits::driver::on_grant(gateway, number, grant, report.as_ref());
         }
+        Payload::PackedBatch(packed) => match batches::unpack(&packed) {
+            Ok(batch) => sync::apply_batch(gateway, &batch),
+            Err(error) => log_dropped(gateway, &from.to_string(), &error.to_string()),
+        },
         Payload::Relay(datagram) => {
             on_relayed(gateway, &datagram, from);
             send_to_domain(gateway, Payload::Relayed { from, datagram });
@@ -453,13 +458,13 @@
 /// Sends the records of a read to the other instances of the domain. Does nothing while this instance
 /// itself relies on another one's reads.
 pub fn send_batch(gateway: &Gateway, batch: RecordBatch) {
-    let len: usize = batch.records.iter().map(|(_, record)| record.len()).sum();
-    if len > BATCH_MAX_BYTES {
-        // Instances that are behind then read from the store.
-        return report_reads(gateway);
+    if gateway.store.borrow().reader.is_some() {
+        return;
     }
-    if gateway.store.borrow().reader.is_none() {
-        send_to_domain(gateway, Payload::Batch(batch));
+    match batches::payloads(batch) {
+        Some(payloads) => payloads.into_iter().for_each(|part| send_to_domain(gateway, part)),
+        // Instances that are behind then read from the store.
+        None => report_reads(gateway),
     }
 }
 
