Load models that fill all workers with a copy from the weight store

Cause: replicas came only from copies on workers, and few workers have one of a model that was not busy before.

--- a/lovageridge/src/gateway/fleet.rs
+++ b/lovageridge/src/gateway/fleet.rs
@@ -15,6 +15,7 @@
 
 pub mod driver;
 mod index;
+mod placement;
 mod plan;
 mod replicas;
 pub mod residency;
--- a/lovageridge/src/gateway/fleet/replicas.rs
+++ b/lovageridge/src/gateway/fleet/replicas.rs
@@ -3,13 +3,17 @@
 use crate::gateway::catalog::Catalog;
 use crate::gateway::fleet::Fleet;
 use crate::gateway::fleet::index::ModelEntry;
-use crate::gateway::fleet::plan::requests_per_replica;
+use crate::gateway::fleet::placement::PlacementRequest;
+use crate::gateway::fleet::placement::requests_per_replica;
 
 /// Requests per second from which a model gets a second replica.
 const SECOND_REPLICA_RATE: f64 = 3.0;
 /// Highest cost of evictions for a further replica, in ms per request per second that the model
 /// gets: about the waiting time that an overloaded worker adds to each request.
 const MAX_REPLICA_COST_PER_RATE_MS: f64 = 1000.0;
+/// Share of the slots of all workers with a replica that its requests use from which a replica is worth a
+/// load from the weight store, in percent.
+const SATURATED_PCT: u32 = 80;
 /// Share of a worker's limit on requests that counts for one of its models, in percent.
 const LIMIT_SHARE_PCT: f64 = 50.0;
 
@@ -59,4 +63,38 @@
             }
         }
     }
+
+    /// Loads a replica of the busiest model from the weight store whose requests fill the slots of all
+    /// workers with a replica, if no further worker has a copy.
+    pub(super) fn add_stored_replicas(
+        &mut self,
+        catalog: &Catalog,
+        load_window_ms: u64,
+        now_ms: u64,
+    ) {
+        let saturated = self.index.models().iter().enumerate().filter(|(_, entry)| {
+            let slots = catalog.engine(&entry.key.0).map_or(0, |engine| engine.slots);
+            slots > 0
+                && !entry.replicas.is_empty()
+                && entry.replicas.iter().all(|replica| replica.is_ready)
+                && entry.cached.len() <= entry.replicas.len()
+                && entry.running * 100 >= entry.replicas.len() as u32 * slots * SATURATED_PCT
+        });
+        let busiest = saturated
+            .max_by(|(_, a), (_, b)| a.rate_per_s(now_ms).total_cmp(&b.rate_per_s(now_ms)));
+        let Some((model, entry)) = busiest else { return };
+        let (service, name) = entry.key.clone();
+        let rate = entry.rate_per_s(now_ms);
+        let Some(engine) = catalog.engine(&service) else { return };
+        if !self.may_load_from_store(engine, load_window_ms) {
+            return;
+        }
+        let request =
+            PlacementRequest { model, waiting_requests: 1.0, skip_limited: true, from_store: true };
+        if let Some(placement) = self.find_placement(engine, request, now_ms)
+            && placement.eviction_cost_ms <= rate * MAX_REPLICA_COST_PER_RATE_MS
+        {
+            self.plan_load(placement, &name, load_window_ms, engine, now_ms);
+        }
+    }
 }
