Refuse requests that would be late at a busy model at once

Cause: nothing compared the load of a worker with its slots; a rejected request went to the same worker three times more. Change: a request is refused if its wait, by the worker's load, slots and the average duration, exceeds its objective; the share that is sent falls gradually, since loads are old. Retry-After is when a place is likely, spread out. Rejected requests go to another worker with the model, and to the same one only if it was not full.

--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -50,7 +50,9 @@
 
 /// Most retries at the same worker after it has stated that it did not execute the request.
 const SAME_WORKER_RETRIES_MAX: u32 = 3;
-/// Delay before such a retry, in ms.
+/// Sends after which a request that workers have rejected goes to no further worker.
+const REJECTED_SENDS_MAX: u32 = 4;
+/// Delay before a retry at the same worker, in ms.
 const SAME_WORKER_RETRY_DELAY_MS: u64 = 40;
 /// Number of failed connections at which a request is refused.
 const CONNECT_FAILURES_MAX: u32 = 5;
@@ -117,6 +119,11 @@
         self.arrived_ms + self.route.objective_ms
     }
 
+    /// Returns the longest time for which the request may wait at a worker, in ms.
+    fn queue_limit_ms(&self) -> u64 {
+        self.route.objective_ms
+    }
+
     /// Returns the time until which the request waits for a model, in ms. `since_ms` is the time of
     /// its arrival or, when a stream is resumed, the present.
     fn wait_until_ms(&self, since_ms: u64) -> u64 {
@@ -173,6 +180,10 @@
     domain: String,
     load: u32,
     load_age_ms: Option<u64>,
+    // Time until it is expected to begin with the request, in ms.
+    wait_ms: u64,
+    // Share of requests that may be sent there, from 0 to 1.
+    admitted_share: f64,
 }
 
 /// Handles a request, from the choice of a worker to the response.
@@ -328,12 +339,16 @@
     if now_ms + SAME_WORKER_RETRY_DELAY_MS >= call.deadline_at_ms {
         return Err(refusal);
     }
-    if attempts.sends < call.route.max_workers {
+    let has_other_worker = attempts.sends < REJECTED_SENDS_MAX
+        && find_worker(gateway, call, &attempts.workers, true).is_ok();
+    if has_other_worker || attempts.sends < call.route.max_workers {
         return if gateway.take_retry(&call.service) { Ok(()) } else { Err(refusal) };
     }
-    // A worker that is loading the model may accept the request shortly after.
+    // A worker that is loading the model may accept the request shortly after; a full one will not.
+    let is_full = attempts.workers.last().is_some_and(|id| is_full(gateway, id));
     let retry_same_worker = status == StatusCode::SERVICE_UNAVAILABLE
         && call.target.is_some()
+        && !is_full
         && attempts.same_worker_retries < SAME_WORKER_RETRIES_MAX
         && attempts.workers.len() == 1
         && gateway.take_retry(&call.service);
@@ -346,6 +361,13 @@
     Ok(())
 }
 
+/// Returns whether requests wait at a worker.
+fn is_full(gateway: &Gateway, worker_id: &str) -> bool {
+    let directory = gateway.directory.borrow();
+    let worker = directory.get(worker_id);
+    worker.is_some_and(|worker| directory.wait_at_ms(worker, gateway.now_ms()) > 0)
+}
+
 /// Forwards a response to the caller; returns `None` if another worker should be tried.
 async fn forward_response(
     gateway: &Rc<Gateway>,
--- a/lovageridge/src/gateway/attempt/acquire.rs
+++ b/lovageridge/src/gateway/attempt/acquire.rs
@@ -16,6 +16,7 @@
 use crate::gateway::directory::choose::Requirements;
 use crate::gateway::directory::choose::blocked_until_ms;
 use crate::gateway::directory::choose::choose;
+use crate::gateway::directory::queueing::retry_after_ms;
 use crate::gateway::limits;
 use crate::gateway::response::Refusal;
 use crate::gateway::settings::GatewaySettings;
@@ -66,16 +67,37 @@
     let directory = gateway.directory.borrow();
     let settings = gateway.settings();
     let requirements = requirements(call, &settings, tried, skip_avoided);
-    let worker = choose(&directory, &requirements, now_ms, rand::random::<f64>)?;
+    let mut worker = choose(&directory, &requirements, now_ms, rand::random::<f64>)?;
+    if directory.wait_at_ms(worker, now_ms) > call.queue_limit_ms()
+        && let Some((first, _)) = directory.first_to_begin(&requirements, now_ms)
+    {
+        worker = first;
+    }
     Ok(ChosenWorker {
         id: worker.record.id.clone(),
         addr: worker.record.addr,
         domain: worker.record.domain.clone(),
         load: worker.load_estimate(now_ms),
         load_age_ms: worker.load_age_ms(now_ms),
+        wait_ms: directory.wait_at_ms(worker, now_ms),
+        admitted_share: directory.admitted_share(worker, call.queue_limit_ms(), now_ms),
     })
 }
 
+/// Refuses a request for a model if it would probably wait for so long at its worker that it is late.
+///
+/// # Errors
+/// Returns the refusal, with the time at which a place is likely.
+fn check_queue(gateway: &Gateway, call: &Call, chosen: &ChosenWorker) -> Result<(), Refusal> {
+    let limit_ms = call.queue_limit_ms();
+    if call.target.is_none() || rand::random::<f64>() < chosen.admitted_share {
+        return Ok(());
+    }
+    gateway.metrics.queue_refused_total.with_label_values(&[call.route.name.as_str()]).inc();
+    let retry_after_ms = retry_after_ms(chosen.wait_ms, limit_ms, rand::random::<f64>());
+    Err(Refusal::not_run("all workers with the model are busy", retry_after_ms))
+}
+
 /// Registers a request as waiting for a model; ends when dropped, also when the caller disconnects.
 struct ModelWait<'a> {
     gateway: &'a Gateway,
@@ -116,11 +138,16 @@
     }
 }
 
-/// Returns the Retry-After of a request that workers have rejected, in ms: the time until the first of them
-/// takes requests again if all have asked for none.
+/// Returns the Retry-After of a request that workers have rejected, in ms: the time until one of them is
+/// likely to have a place, or until the first of them takes requests again if all have asked for none.
 pub(super) fn retry_after_rejection_ms(gateway: &Gateway, call: &Call) -> u64 {
-    if find_worker(gateway, call, &[], false).is_ok() {
-        return RETRY_AFTER_BUSY_MS;
+    if let Ok(chosen) = find_worker(gateway, call, &[], false) {
+        if call.target.is_none() || chosen.wait_ms == 0 {
+            return RETRY_AFTER_BUSY_MS;
+        }
+        let limit_ms = call.queue_limit_ms();
+        let return_ms = retry_after_ms(chosen.wait_ms, limit_ms, rand::random::<f64>());
+        return return_ms.max(RETRY_AFTER_BUSY_MS);
     }
     let now_ms = gateway.now_ms();
     let settings = gateway.settings();
@@ -196,6 +223,9 @@
                 if model_wait.is_some() {
                     record_cold_wait(gateway, call);
                 }
+                if tried.is_empty() {
+                    check_queue(gateway, call, &chosen)?;
+                }
                 return Ok(chosen);
             }
             Err(choose_error) => choose_error,
--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -20,12 +20,14 @@
 pub mod choose;
 pub mod departed;
 pub mod health;
+pub mod queueing;
 
 #[cfg(test)]
 pub(crate) mod tests;
 
 use crate::gateway::directory::departed::DepartedWorkers;
 use crate::gateway::directory::health::Health;
+use crate::gateway::directory::queueing::Durations;
 
 /// Time for which the result of contacting a worker counts for the reachability of its failure
 /// domain, in ms.
@@ -168,9 +170,15 @@
     status_received_ms: u64,
     detached_limits: DetachedLimits,
     departed: DepartedWorkers,
+    durations: Durations,
 }
 
 impl Directory {
+    /// Records a request of `service` that has ended after `duration_ms` at its worker.
+    pub fn on_ended(&mut self, service: &str, duration_ms: u64) {
+        self.durations.on_ended(service, duration_ms);
+    }
+
     /// Applies a worker's record, unless it is of an earlier start than the known one.
     pub fn on_record(&mut self, record: WorkerRecord, now_ms: u64) -> Change {
         let Some(worker) = self.workers.get_mut(record.id.as_str()) else {
--- a/lovageridge/src/gateway/directory/choose.rs
+++ b/lovageridge/src/gateway/directory/choose.rs
@@ -103,6 +103,16 @@
     scored.get(index).map(|(worker, _)| *worker).ok_or(ChooseError::NoneEligible)
 }
 
+/// Returns whether a worker may get a request with these requirements now.
+pub fn is_eligible(worker: &Worker, requirements: &Requirements<'_>, now_ms: u64) -> bool {
+    worker.record.service == requirements.service
+        && worker.accepts_new_requests(now_ms)
+        && worker.blocked_until_ms(now_ms).is_none()
+        && !(requirements.skip_avoided && worker.health.is_avoided(now_ms))
+        && requirements.model.is_none_or(|model| worker.holds(model, requirements.adapter, now_ms))
+        && !requirements.tried.contains(&worker.record.id)
+}
+
 /// Returns the time at which the first worker that meets `requirements`, but takes no request now because of
 /// its limit or since it has asked for none, takes one again, in ms; `None` if there is no such worker.
 pub fn blocked_until_ms(
--- a/lovageridge/src/gateway/metrics.rs
+++ b/lovageridge/src/gateway/metrics.rs
@@ -41,6 +41,8 @@
     pub cold_wait_s: HistogramVec,
     /// Orders to workers by kind and answer.
     pub orders_total: IntCounterVec,
+    /// Requests refused since they would wait for too long at a worker, by route.
+    pub queue_refused_total: IntCounterVec,
     /// Models, workers and replicas that the planner of the lead has looked at.
     pub plan_steps_total: IntCounter,
     /// Calls to the store by kind of call and result.
@@ -149,6 +151,11 @@
                 "Waits for a model that no worker held",
                 &["route"],
             )?,
+            queue_refused_total: counters(
+                "gateway_queue_refused_total",
+                "Requests refused since they would wait for too long at a worker",
+                &["route"],
+            )?,
             plan_steps_total: counter(
                 "gateway_plan_steps_total",
                 "Models, workers and replicas that the planner has looked at",
--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -249,7 +249,9 @@
         if let Some(began_ms) = source.upstream.first_data_ms {
             source.upstream.record_survival(&self.gateway, &self.call, began_ms);
         }
-        let Upstream { outcome, sender, in_flight, is_framed, .. } = source.upstream;
+        let Upstream { outcome, sender, in_flight, is_framed, started_ms, .. } = source.upstream;
+        let duration_ms = self.gateway.now_ms() - started_ms;
+        self.gateway.directory.borrow_mut().on_ended(&self.call.service, duration_ms);
         attempt::return_connection(&self.gateway, &in_flight.worker_id, sender, &outcome);
         let first_ms = self.delivery.first_ms.unwrap_or(self.call.arrived_ms);
         let line = self.gateway.log.line(events::STREAM_ENDED, Severity::Routine);
