Let urgent requests past the limit of a queue; busy models without a copy come first at the weight store

Proof: the test of the order at the weight store fails without the check; ranks are tested in the adapter. Change: the queue may be four times as long for routes that rank before another one of their service; a model without any copy whose rate is over what one replica serves comes before replicas of others.

--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -50,6 +50,8 @@
 
 /// Most retries at the same worker after it has stated that it did not execute the request.
 const SAME_WORKER_RETRIES_MAX: u32 = 3;
+/// Factor by which the queue of a worker may be longer for requests that come before others there.
+const URGENT_QUEUE_FACTOR: u64 = 4;
 /// Sends after which a request that workers have rejected goes to no further worker.
 const REJECTED_SENDS_MAX: u32 = 4;
 /// Delay before a retry at the same worker, in ms.
@@ -119,9 +121,11 @@
         self.arrived_ms + self.route.objective_ms
     }
 
-    /// Returns the longest time for which the request may wait at a worker, in ms.
+    /// Returns the longest time for which a request without urgency may wait at a worker that this one is
+    /// sent to, in ms.
     fn queue_limit_ms(&self) -> u64 {
-        self.route.objective_ms
+        let is_urgent = self.catalog.is_urgent(&self.service, self.route.rank);
+        self.route.objective_ms * if is_urgent { URGENT_QUEUE_FACTOR } else { 1 }
     }
 
     /// Returns the time until which the request waits for a model, in ms. `since_ms` is the time of
--- a/lovageridge/src/gateway/catalog.rs
+++ b/lovageridge/src/gateway/catalog.rs
@@ -141,6 +141,8 @@
     pub limits: Limits,
     // Sorted by host, then by the length of the prefix with the longest first.
     routes: Vec<Route>,
+    // Least urgent rank of the routes of each service.
+    least_urgent_ranks: Table<String, u32>,
 }
 
 impl Catalog {
@@ -155,7 +157,19 @@
             let longest_first = b.path_prefix.len().cmp(&a.path_prefix.len());
             a.host.cmp(&b.host).then(longest_first)
         });
-        Self { version, services, limits, routes }
+        let mut least_urgent_ranks: Table<String, u32> = Table::new();
+        for route in &routes {
+            for (service, _) in &route.targets {
+                let rank = least_urgent_ranks.get_or_insert_with(service.clone(), || route.rank);
+                *rank = route.rank.max(*rank);
+            }
+        }
+        Self { version, services, limits, routes, least_urgent_ranks }
+    }
+
+    /// Returns whether requests with `rank` come before others at the workers of `service`.
+    pub fn is_urgent(&self, service: &str, rank: u32) -> bool {
+        self.least_urgent_ranks.get(service).is_some_and(|least_urgent| rank < *least_urgent)
     }
 
     /// Returns the route of `host` with the longest prefix of `path`.
--- a/lovageridge/src/gateway/fleet/plan.rs
+++ b/lovageridge/src/gateway/fleet/plan.rs
@@ -161,7 +161,7 @@
 
     /// Returns the numbers of the recently requested models that are only in the weight store, with
     /// their request rates, highest first.
-    fn uncached_models(&self, now_ms: u64) -> Vec<(f64, usize)> {
+    pub(super) fn uncached_models(&self, now_ms: u64) -> Vec<(f64, usize)> {
         let is_requested = |entry: &ModelEntry| {
             let last_used_ms = entry.usage.as_ref().map(|usage| usage.last_used_ms);
             last_used_ms.is_some_and(|used_ms| now_ms <= used_ms + RECENT_REQUEST_MS)
--- a/lovageridge/src/gateway/fleet/replicas.rs
+++ b/lovageridge/src/gateway/fleet/replicas.rs
@@ -14,6 +14,8 @@
 /// Share of the slots of all workers with a replica that its requests use from which a replica is worth a
 /// load from the weight store, in percent.
 const SATURATED_PCT: u32 = 80;
+/// Typical duration of a request at a model worker, in s.
+const REQUEST_DURATION_S: f64 = 3.0;
 /// Share of a worker's limit on requests that counts for one of its models, in percent.
 const LIMIT_SHARE_PCT: f64 = 50.0;
 
@@ -86,6 +88,11 @@
         let (service, name) = entry.key.clone();
         let rate = entry.rate_per_s(now_ms);
         let Some(engine) = catalog.engine(&service) else { return };
+        // A replica serves no more than this, so such a model without any copy comes first.
+        let replica_rate = f64::from(engine.slots) / REQUEST_DURATION_S;
+        if self.uncached_models(now_ms).first().is_some_and(|(rate, _)| *rate >= replica_rate) {
+            return;
+        }
         if !self.may_load_from_store(engine, load_window_ms) {
             return;
         }
--- a/lovageridge/src/gateway/fleet/tests/weight_store.rs
+++ b/lovageridge/src/gateway/fleet/tests/weight_store.rs
@@ -130,3 +130,31 @@
     }
     assert_eq!(sim.replica_count("m00"), 2);
 }
+
+/// A busy model that no worker has a copy of is loaded before a further replica of another one: without it
+/// all its callers are refused. The weight store serves one load at a time.
+#[test]
+fn a_busy_model_without_a_copy_comes_before_a_further_replica() {
+    let mut sim = Simulation::new(8, 16);
+    sim.store_concurrency = 1;
+    for (id, worker) in sim.workers.iter_mut() {
+        worker.on_disk.retain(|name| name != "m15" && (name != "m00" || id == "w0" || id == "w1"));
+    }
+    for record in sim.records() {
+        sim.fleet.on_worker_record(&record, sim.now_ms);
+    }
+    sim.run_for_ms(2000);
+    sim.request_duration_ms = 90_000;
+    for _ in 0..400 {
+        sim.add_request("m00", None, 400);
+    }
+    // The first load is for the model whose requests are there first.
+    for _ in 0..(2 * STORE_LOAD_MS + 3 * RECORD_INTERVAL_MS) / 20 {
+        for _ in 0..3 {
+            sim.add_request("m15", None, 400);
+        }
+        sim.run_for_ms(20);
+        sim.waiting.retain(|request| request.model != "m15");
+    }
+    assert!(sim.replica_count("m15") >= 1, "the model without a copy was not loaded");
+}
--- a/lovageridge/src/platform/tests.rs
+++ b/lovageridge/src/platform/tests.rs
@@ -112,6 +112,15 @@
     assert!(config::parse(text.as_bytes()).is_err(), "a negative number");
 }
 
+/// Ranks are compared within a service.
+#[test]
+fn a_route_is_urgent_if_another_one_of_its_service_ranks_after_it() {
+    let text = CONFIG.replace("\"TimeoutMs\":1000,", "\"TimeoutMs\":1000,\"Priority\":1,");
+    let catalog = config::parse(text.as_bytes()).expect("valid configuration");
+    assert!(catalog.is_urgent("s", 0) && !catalog.is_urgent("s", 1));
+    assert!(!catalog.is_urgent("unknown", 0));
+}
+
 const WORKER: &str = r#"{"Service":"s","Address":"10.0.0.9:8080","Zone":"a","Slots":64,
     "State":"ready","Models":[{"Name":"z","Adapters":["a2","a1"]},{"Name":"b"}],
     "AtHand":{"InMemory":["z"],"OnDisk":["b"]},"Seq":4,"born":1783}"#;
