Take the lead's status only from its newest message

Found by reading: an instance that passes the lead's updates on and was paused for some seconds would pass on what waited in its socket, so that the others took old loads for new ones and the lead for alive.

--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -168,6 +168,8 @@
     // Models reported by the lead as not usable before a time, in ms; sorted by tag.
     delayed_models: Vec<(Tag, u64)>,
     status_received_ms: u64,
+    // Fencing number and sequence number of the lead's newest message.
+    newest_message: Option<(u64, u64)>,
     detached_limits: DetachedLimits,
     departed: DepartedWorkers,
     durations: Durations,
@@ -277,6 +279,16 @@
         changed
     }
 
+    /// Returns whether message `sequence` of the lead with `fence` is the newest one so far. Messages that
+    /// another instance passes on may be late, by seconds if that one was paused.
+    pub fn on_lead_message(&mut self, fence: u64, sequence: u64) -> bool {
+        let is_newest = self.newest_message < Some((fence, sequence));
+        if is_newest {
+            self.newest_message = Some((fence, sequence));
+        }
+        is_newest
+    }
+
     /// Applies the status from a heartbeat of the lead.
     pub fn on_status(&mut self, status: &FleetStatus, now_ms: u64) {
         let delayed = status
--- a/lovageridge/src/gateway/directory/tests.rs
+++ b/lovageridge/src/gateway/directory/tests.rs
@@ -211,3 +211,15 @@
     directory.on_status(&FleetStatus::default(), 2600);
     assert_eq!(directory.unavailable_until_ms("engine", "m", 2700), None, "the model can be used");
 }
+
+/// Guards against an instance that was paused, and then passes on what it had received before.
+#[test]
+fn an_earlier_message_of_the_lead_is_not_the_newest() {
+    let mut directory = Directory::default();
+    assert!(directory.on_lead_message(3, 10));
+    assert!(directory.on_lead_message(3, 12));
+    assert!(!directory.on_lead_message(3, 11), "passed on late");
+    assert!(!directory.on_lead_message(3, 12), "passed on twice");
+    assert!(directory.on_lead_message(4, 1), "a new lead");
+    assert!(!directory.on_lead_message(3, 13), "the lead before");
+}
--- a/lovageridge/src/gateway/peers/driver.rs
+++ b/lovageridge/src/gateway/peers/driver.rs
@@ -265,23 +265,25 @@
         let line = gateway.log.line(events::LEAD_HEARD, Severity::Notable);
         line.text("lead", name).number("fence", residency.fence).emit();
     }
-    *gateway.lead.borrow_mut() = Some(KnownLead {
-        instance_id: name.to_owned(),
-        fence: residency.fence,
-        addr: Some(from),
-        received_at_ms: now_ms,
-    });
-    let mut election = gateway.election.borrow_mut();
-    if sender.message_era == gateway.store.borrow().progress.era {
-        let end_offset = residency.claims_end_offset;
-        election.on_lead_message(name, sender.incarnation, end_offset, now_ms);
-    }
-    drop(election);
+    let mut directory = gateway.directory.borrow_mut();
+    let is_newest = directory.on_lead_message(residency.fence, residency.sequence);
     let mut changed = false;
     let mut is_demand_affected = false;
-    let mut directory = gateway.directory.borrow_mut();
-    directory.refresh_views(residency.fence, now_ms);
-    if let Some(status) = &residency.status {
+    if is_newest {
+        *gateway.lead.borrow_mut() = Some(KnownLead {
+            instance_id: name.to_owned(),
+            fence: residency.fence,
+            addr: Some(from),
+            received_at_ms: now_ms,
+        });
+        if sender.message_era == gateway.store.borrow().progress.era {
+            let mut election = gateway.election.borrow_mut();
+            let end_offset = residency.claims_end_offset;
+            election.on_lead_message(name, sender.incarnation, end_offset, now_ms);
+        }
+        directory.refresh_views(residency.fence, now_ms);
+    }
+    if let Some(status) = residency.status.as_ref().filter(|_| is_newest) {
         directory.on_status(status, now_ms);
         // Wakes requests that wait for a delayed model, so that they are refused early.
         changed |= !status.delayed_models.is_empty();
