--- a/lovageridge/src/gateway/fleet/replicas.rs
+++ b/lovageridge/src/gateway/fleet/replicas.rs
@@ -53,7 +53,8 @@
             let replicas_for_running = 1 + (entry.running / requests_per_replica(engine)) as usize;
             let wanted = replicas_for_rate.max(replicas_for_running);
             let is_short = self.is_short_of_limits(entry, None, now_ms);
-            if wanted == 1 && !is_short || !is_short && entry.replicas.len() >= wanted {
+            let suffices = wanted == 1 || entry.replicas.len() >= wanted;
+            if suffices && !is_short {
                 continue;
             }
             let model = model.clone();
