--- a/lovageridge/src/gateway/attempt/acquire.rs
+++ b/lovageridge/src/gateway/attempt/acquire.rs
@@ -17,10 +17,12 @@
 use crate::gateway::directory::choose::blocked_until_ms;
 use crate::gateway::directory::choose::choose;
 use crate::gateway::directory::queueing::retry_after_ms;
+use crate::gateway::eventlog::Severity;
 use crate::gateway::limits;
 use crate::gateway::response::Refusal;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::waits::Target;
+use crate::telemetry::events;
 
 /// Retry-After when a model was not loaded in time, in ms; a load from disk takes about that long.
 const RETRY_AFTER_MODEL_WAIT_MS: u64 = 700;
@@ -95,6 +97,14 @@
     }
     gateway.metrics.queue_refused_total.with_label_values(&[call.route.name.as_str()]).inc();
     let retry_after_ms = retry_after_ms(chosen.wait_ms, limit_ms, rand::random::<f64>());
+    let line = gateway.log.line(events::QUEUE_REFUSED, Severity::Routine);
+    line.text("request", call.id())
+        .text("worker", &chosen.id)
+        .number("load", chosen.load)
+        .number("load_age_ms", chosen.load_age_ms.map_or(-1, i128::from))
+        .number("wait_ms", chosen.wait_ms)
+        .number("limit_ms", limit_ms)
+        .emit();
     Err(Refusal::not_run("all workers with the model are busy", retry_after_ms))
 }
 
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -150,4 +150,6 @@
     STORE_RESTORED = 737 "store_restored";
     /// A worker has said in a response that it is shutting down.
     WORKER_SAID_LEAVING = 738 "worker_said_leaving";
+    /// A request is refused since it would wait for too long at a worker.
+    QUEUE_REFUSED = 739 "queue_refused";
 }
