Let relays take turns by updates; leave the choice among plain workers as it was

Found by reading, before callers saw it: turns followed the number of messages, so with three messages in each update one instance of a domain passed all of them on, and its failure would have cut the domain off from the lead. Workers of plain services were chosen by an average duration of streams once seven requests were there, whatever their failures. Proof: the count of updates has a test; the second is not measured. Change: updates are counted, and queues decide for models only.

--- a/lovageridge/src/gateway/attempt/acquire.rs
+++ b/lovageridge/src/gateway/attempt/acquire.rs
@@ -70,7 +70,9 @@
     let settings = gateway.settings();
     let requirements = requirements(call, &settings, tried, skip_avoided);
     let mut worker = choose(&directory, &requirements, now_ms, rand::random::<f64>)?;
-    if directory.wait_at_ms(worker, now_ms) > call.queue_limit_ms()
+    // Workers of plain services are not chosen by their queues, since these say nothing of failures.
+    if call.target.is_some()
+        && directory.wait_at_ms(worker, now_ms) > call.queue_limit_ms()
         && let Some((first, _)) = directory.first_to_begin(&requirements, now_ms)
     {
         worker = first;
--- a/lovageridge/src/gateway/fleet/driver.rs
+++ b/lovageridge/src/gateway/fleet/driver.rs
@@ -59,7 +59,10 @@
         // Ticks without a notification too, since loads finish and adapters become ready as time
         // passes.
         let _ = timeout(interval, gateway.planning_due.notified()).await;
-        tokio::time::sleep(tick_spacing(&gateway, last_tick_ms)).await;
+        let spacing = tick_spacing(&gateway, last_tick_ms);
+        if !spacing.is_zero() {
+            tokio::time::sleep(spacing).await;
+        }
         last_tick_ms = gateway.now_ms();
         let Some(calls) = tick(&gateway) else { continue };
         publish_residency(&gateway, &mut publisher, &mut message_number);
@@ -129,7 +132,8 @@
         received_at_ms: now_ms,
     });
     let peers = gateway.peers.borrow();
-    let recipients = recipients(&peers, &gateway.settings().domain, *message_number, now_ms);
+    let domain = &gateway.settings().domain;
+    let recipients = recipients(&peers, domain, publisher.update_count(), now_ms);
     let new_names = publisher.take_new_peers(peers.unexpired(now_ms).map(|(name, _)| name));
     let new_peers = new_names.iter().filter_map(|name| peers.get(name).map(|peer| peer.addr));
     let new_peers: Vec<SocketAddr> = new_peers.collect();
--- a/lovageridge/src/gateway/fleet/residency.rs
+++ b/lovageridge/src/gateway/fleet/residency.rs
@@ -63,6 +63,8 @@
     fence: u64,
     last_heartbeat_ms: Option<u64>,
     last_update_ms: u64,
+    // Number of updates, over all terms.
+    updates: u64,
     // First worker of the rotation in the next heartbeat.
     next_worker: String,
     sent: Table<String, SentView>,
@@ -70,6 +72,12 @@
 }
 
 impl ResidencyPublisher {
+    /// Returns the number of updates so far. Instances of a domain take turns by it, not by the number of
+    /// messages, of which an update may have several.
+    pub fn update_count(&self) -> u64 {
+        self.updates
+    }
+
     /// Returns whether `interval_ms` have passed since the last update of the lead with `fence`.
     pub fn may_update(&self, fence: u64, interval_ms: u64, now_ms: u64) -> bool {
         self.fence != fence || now_ms >= self.last_update_ms + interval_ms
@@ -84,7 +92,7 @@
         now_ms: u64,
     ) -> Option<DueUpdate> {
         if self.fence != fence {
-            *self = Self { fence, ..Self::default() };
+            *self = Self { fence, updates: self.updates, ..Self::default() };
         }
         self.sent.retain(|id, _| views.binary_search_by(|view| view.id.cmp(id)).is_ok());
         let is_heartbeat =
@@ -100,6 +108,7 @@
         }
         if is_heartbeat || !due.is_empty() {
             self.last_update_ms = now_ms;
+            self.updates += 1;
         }
         if !is_heartbeat {
             return (!due.is_empty()).then_some(DueUpdate { views: due, is_heartbeat });
--- a/lovageridge/src/gateway/fleet/residency/tests.rs
+++ b/lovageridge/src/gateway/fleet/residency/tests.rs
@@ -155,3 +155,18 @@
         Some(3)
     );
 }
+
+/// Guards against turns that follow the number of messages: with three messages in each update, the same one
+/// of three instances would pass all of them on.
+#[test]
+fn each_update_is_counted_once_however_large_it_is() {
+    let mut publisher = ResidencyPublisher::default();
+    update_for(&mut publisher, 7, &views(240), 0);
+    let after_first = publisher.update_count();
+    for now_ms in [300, 600] {
+        update_for(&mut publisher, 7, &views(240), now_ms);
+    }
+    assert_eq!((after_first, publisher.update_count()), (1, 3));
+    assert!(update_for(&mut publisher, 7, &views(240), 615).is_none());
+    assert_eq!(publisher.update_count(), 3, "nothing was sent");
+}
--- a/lovageridge/src/gateway/peers/relays.rs
+++ b/lovageridge/src/gateway/peers/relays.rs
@@ -25,9 +25,9 @@
     pub relays: Vec<SocketAddr>,
 }
 
-/// Returns the recipients of the update with number `sequence`, from an instance in `own_domain`, for
-/// all unexpired peers.
-pub fn recipients(peers: &Peers, own_domain: &str, sequence: u64, now_ms: u64) -> Recipients {
+/// Returns the recipients of the update with this number, from an instance in `own_domain`, for all
+/// unexpired peers.
+pub fn recipients(peers: &Peers, own_domain: &str, update: u64, now_ms: u64) -> Recipients {
     let mut domains: Vec<&str> = Vec::new();
     for (_, peer) in peers.unexpired(now_ms) {
         if let Err(index) = domains.binary_search(&peer.domain.as_str()) {
@@ -37,7 +37,7 @@
     let mut recipients = Recipients::default();
     for domain in domains {
         let members = || peers.same_domain(domain, now_ms);
-        let relay = relay(peers, domain, sequence, now_ms);
+        let relay = relay(peers, domain, update, now_ms);
         // The domain of a peer that has sent nothing yet is not known.
         let is_direct =
             domain.is_empty() || domain == own_domain || members().count() <= DIRECT_PEERS_MAX;
@@ -50,12 +50,12 @@
 }
 
 /// Returns the instance of `domain` whose turn it is; `None` if none has sent a message recently.
-fn relay(peers: &Peers, domain: &str, sequence: u64, now_ms: u64) -> Option<SocketAddr> {
+fn relay(peers: &Peers, domain: &str, update: u64, now_ms: u64) -> Option<SocketAddr> {
     let live = peers.live(now_ms).filter(|(_, peer)| peer.domain == domain);
     let mut ranked: Vec<(bool, &String, SocketAddr)> =
         live.map(|(name, peer)| (peer.is_small, name, peer.addr)).collect();
     ranked.sort_unstable();
     ranked.truncate(RELAYS_PER_DOMAIN);
-    let turn = sequence.checked_rem(ranked.len() as u64)?;
+    let turn = update.checked_rem(ranked.len() as u64)?;
     ranked.get(turn as usize).map(|(_, _, addr)| *addr)
 }
--- a/lovageridge/src/gateway/peers/relays/tests.rs
+++ b/lovageridge/src/gateway/peers/relays/tests.rs
@@ -54,7 +54,7 @@
 fn consecutive_updates_take_different_relays() {
     let peers = peers(2, 59);
     let mut relays: Vec<SocketAddr> =
-        (0..3).flat_map(|sequence| recipients(&peers, "d0", sequence, NOW_MS).relays).collect();
+        (0..3).flat_map(|update| recipients(&peers, "d0", update, NOW_MS).relays).collect();
     relays.sort_unstable();
     relays.dedup();
     assert_eq!(relays.len(), 3);
