Add replicas for sustained demand; refuse nothing that is clearly in time

Change: fewer than 16 concurrent requests count by rate and duration; durations that are not known refuse nothing; all are sent while the wait is clearly below the limit.

--- a/lovageridge/src/gateway/directory/queueing.rs
+++ b/lovageridge/src/gateway/directory/queueing.rs
@@ -13,14 +13,12 @@
 #[cfg(test)]
 mod tests;
 
-/// Duration of a request at a model worker while none has ended yet, in ms.
-const DEFAULT_DURATION_MS: f64 = 3000.0;
-/// Weight of a request in the average duration.
-const DURATION_WEIGHT: f64 = 1.0 / 16.0;
+/// Requests that the average duration is taken over; later ones replace earlier ones gradually.
+const AVERAGED_REQUESTS: u32 = 16;
 /// Requests beyond the limit at which none are admitted, relative to those that are not reported yet.
-const FULL_MARGIN: f64 = 0.25;
-/// Range over which the share of admitted requests falls, relative to those that are not reported yet.
-const FALL_WIDTH: f64 = 2.0;
+const BEYOND_LIMIT: f64 = 0.25;
+/// Requests below the limit up to which all are admitted, relative to those that are not reported yet.
+const BELOW_LIMIT: f64 = 1.75;
 /// Largest random addition to the time after which a refused caller should return, in ms; those that
 /// were refused together then return one after the other.
 const RETURN_SPREAD_MS: f64 = 1500.0;
@@ -28,22 +26,26 @@
 /// Average duration of the requests of each service, in ms.
 #[derive(Clone, Debug, Default)]
 pub struct Durations {
-    averages_ms: Table<String, f64>,
+    // Average and number of requests.
+    averages_ms: Table<String, (f64, u32)>,
 }
 
 impl Durations {
     /// Records a request of `service` that has ended after `duration_ms` at its worker.
     pub fn on_ended(&mut self, service: &str, duration_ms: u64) {
-        let average_ms = match self.averages_ms.get_mut(service) {
-            Some(average_ms) => average_ms,
-            None => self.averages_ms.get_or_insert_with(service.to_owned(), || DEFAULT_DURATION_MS),
+        let known = match self.averages_ms.get_mut(service) {
+            Some(known) => known,
+            None => self.averages_ms.get_or_insert_with(service.to_owned(), || (0.0, 0)),
         };
-        *average_ms += (duration_ms as f64 - *average_ms) * DURATION_WEIGHT;
+        let (average_ms, count) = known;
+        *count = (*count + 1).min(AVERAGED_REQUESTS);
+        *average_ms += (duration_ms as f64 - *average_ms) / f64::from(*count);
     }
 
-    /// Returns the average duration of a request of `service`, in ms.
-    pub fn average_ms(&self, service: &str) -> f64 {
-        self.averages_ms.get(service).copied().unwrap_or(DEFAULT_DURATION_MS)
+    /// Returns the average duration of a request of `service`, in ms; `None` before the first one has
+    /// ended.
+    pub fn average_ms(&self, service: &str) -> Option<f64> {
+        self.averages_ms.get(service).map(|(average_ms, _)| *average_ms)
     }
 }
 
@@ -82,8 +84,12 @@
         let slots = f64::from(self.slots);
         let duration_ms = self.duration_ms.max(1.0);
         let unreported = (slots * self.age_ms as f64 / duration_ms).clamp(1.0, slots);
-        let full = slots + slots * limit_ms as f64 / duration_ms + unreported * FULL_MARGIN;
-        ((full - f64::from(self.load)) / (unreported * FALL_WIDTH)).clamp(0.0, 1.0)
+        let queue = slots * limit_ms as f64 / duration_ms;
+        let none_from = slots + queue + unreported * BEYOND_LIMIT;
+        // What is clearly in time is sent, however old the load is.
+        let uncertain = (unreported * BELOW_LIMIT).min((queue / 2.0).max(slots / 4.0));
+        let all_until = slots + queue - uncertain;
+        ((none_from - f64::from(self.load)) / (none_from - all_until)).clamp(0.0, 1.0)
     }
 }
 
@@ -94,20 +100,23 @@
 }
 
 impl Directory {
-    /// Returns the time until `worker` begins with another request, in ms.
+    /// Returns the time until `worker` begins with another request, in ms; 0 while durations are not known.
     pub fn wait_at_ms(&self, worker: &Worker, now_ms: u64) -> u64 {
-        let duration_ms = self.durations.average_ms(&worker.record.service);
+        let Some(duration_ms) = self.durations.average_ms(&worker.record.service) else { return 0 };
         expected_wait_ms(worker.load_estimate(now_ms), worker.record.slots, duration_ms)
     }
 
     /// Returns the share of requests, from 0 to 1, that may be sent to `worker` if they may wait there for
     /// `limit_ms`.
     pub fn admitted_share(&self, worker: &Worker, limit_ms: u64, now_ms: u64) -> f64 {
+        let Some(duration_ms) = self.durations.average_ms(&worker.record.service) else {
+            return 1.0;
+        };
         let occupancy = Occupancy {
             load: worker.load_estimate(now_ms),
             slots: worker.record.slots,
             age_ms: worker.load_age_ms(now_ms).unwrap_or(0),
-            duration_ms: self.durations.average_ms(&worker.record.service),
+            duration_ms,
         };
         occupancy.admitted_share(limit_ms)
     }
--- a/lovageridge/src/gateway/directory/queueing/tests.rs
+++ b/lovageridge/src/gateway/directory/queueing/tests.rs
@@ -11,6 +11,7 @@
 use crate::gateway::directory::choose::Requirements;
 use crate::gateway::directory::choose::choose;
 use crate::gateway::directory::queueing::Durations;
+use crate::gateway::directory::queueing::Occupancy;
 use crate::gateway::directory::queueing::expected_wait_ms;
 use crate::gateway::directory::queueing::retry_after_ms;
 use crate::gateway::directory::tests::record;
@@ -186,13 +187,38 @@
     assert!(retry_after_ms(2000, 400, 0.9) > retry_after_ms(2000, 400, 0.1) + 500);
 }
 
+/// Guards against refusals of requests that would be in time: short ones at a worker whose load is old.
+#[test_case(12, 300, 500 => 1.0; "a short queue of short requests")]
+#[test_case(7, 2400, 500 => 1.0; "a free slot")]
+#[test_case(40, 300, 500 => 0.0; "a long queue")]
+fn what_is_clearly_in_time_is_sent(load: u32, duration_ms: u32, age_ms: u64) -> f64 {
+    let duration_ms = f64::from(duration_ms);
+    Occupancy { load, slots: 8, age_ms, duration_ms }.admitted_share(400)
+}
+
+/// Guards against refusals at a start, when no request has ended yet.
+#[test]
+fn nobody_is_refused_while_durations_are_not_known() {
+    let mut directory = Directory::default();
+    let worker = record("w0", "a", &["hot"]);
+    directory.on_record(WorkerRecord { slots: SLOTS as u32, ..worker }, 0);
+    let worker = directory.get_mut("w0").expect("a known worker");
+    (0..100).for_each(|_| worker.on_sent(Some("hot")));
+    let worker = directory.get("w0").expect("a known worker");
+    assert!((directory.admitted_share(worker, OBJECTIVE_MS, 0) - 1.0).abs() < f64::EPSILON);
+    directory.on_ended("engine", DURATION_MS);
+    let worker = directory.get("w0").expect("a known worker");
+    assert!(directory.admitted_share(worker, OBJECTIVE_MS, 0) < f64::EPSILON);
+}
+
 #[test]
 fn the_average_duration_follows_the_requests_that_ended() {
     let mut durations = Durations::default();
-    let initial_ms = durations.average_ms("engine");
+    durations.on_ended("engine", 3000);
+    assert_eq!(durations.average_ms("engine"), Some(3000.0));
     for _ in 0..100 {
         durations.on_ended("engine", 500);
     }
-    assert!(durations.average_ms("engine") < 600.0);
-    assert!((durations.average_ms("other") - initial_ms).abs() < f64::EPSILON);
+    assert!(durations.average_ms("engine").is_some_and(|ms| ms < 600.0));
+    assert_eq!(durations.average_ms("other"), None);
 }
--- a/lovageridge/src/gateway/fleet/placement.rs
+++ b/lovageridge/src/gateway/fleet/placement.rs
@@ -23,6 +23,8 @@
 /// Slots of a worker per concurrent request that one replica serves well along with the other load of
 /// its worker.
 const SLOTS_PER_REPLICA_REQUEST: u32 = 4;
+/// Least number of concurrent requests that one replica serves well.
+const MIN_REQUESTS_PER_REPLICA: u32 = 3;
 /// Concurrent requests that one replica serves well if the slots of its worker are not known.
 const DEFAULT_REQUESTS_PER_REPLICA: u32 = 16;
 /// Added to the cost of a placement in a failure domain that already has a replica, in ms: a
@@ -233,6 +235,6 @@
 pub(super) fn requests_per_replica(engine: &Engine) -> u32 {
     match engine.slots {
         0 => DEFAULT_REQUESTS_PER_REPLICA,
-        slots => (slots / SLOTS_PER_REPLICA_REQUEST).max(1),
+        slots => (slots / SLOTS_PER_REPLICA_REQUEST).max(MIN_REQUESTS_PER_REPLICA),
     }
 }
--- a/lovageridge/src/gateway/fleet/replicas.rs
+++ b/lovageridge/src/gateway/fleet/replicas.rs
@@ -8,6 +8,8 @@
 
 /// Requests per second from which a model gets a second replica.
 const SECOND_REPLICA_RATE: f64 = 3.0;
+/// Concurrent requests for which a further replica is added at once, whatever their rate.
+const MANY_REQUESTS: u32 = 16;
 /// Highest cost of evictions for a further replica, in ms per request per second that the model
 /// gets: about the waiting time that an overloaded worker adds to each request.
 const MAX_REPLICA_COST_PER_RATE_MS: f64 = 1000.0;
@@ -50,7 +52,11 @@
             let Some(engine) = catalog.engine(service) else { continue };
             let rate = entry.rate_per_s(now_ms);
             let replicas_for_rate = 1 + usize::from(rate >= SECOND_REPLICA_RATE);
-            let replicas_for_running = 1 + (entry.running / requests_per_replica(engine)) as usize;
+            // A few requests that came at once end before another replica is loaded.
+            let sustained = (rate * REQUEST_DURATION_S).min(f64::from(entry.running)) as u32;
+            let replicas_for_running = 1
+                + (entry.running / MANY_REQUESTS).max(sustained / requests_per_replica(engine))
+                    as usize;
             let wanted = replicas_for_rate.max(replicas_for_running);
             let is_short = self.is_short_of_limits(entry, None, now_ms);
             let suffices = wanted == 1 || entry.replicas.len() >= wanted;
