--- a/lovageridge/src/gateway/fleet.rs
+++ b/lovageridge/src/gateway/fleet.rs
@@ -141,7 +141,7 @@
             Some(worker) if worker.start_unix_ms == record.start_unix_ms => {
                 worker.touch();
                 if let Some(load) = worker.on_record(record, now_ms) {
-                    self.store_limiter.on_load_finished(load);
+                    self.store_limiter.on_load_finished(load, now_ms);
                 }
             }
             _ => {
