Tell more models as delayed where there are more workers

Cause: twelve models were told as delayed, whatever the size of the deployment. Proof: the new test has 12 of 40 with the constant (by its value). Change: one for six workers, twelve at least; the bound of the narrow link at 90 workers holds.

--- a/lovageridge/src/gateway/fleet/driver.rs
+++ b/lovageridge/src/gateway/fleet/driver.rs
@@ -17,8 +17,8 @@
 use crate::gateway::eventlog::Severity;
 use crate::gateway::fleet::Call;
 use crate::gateway::fleet::Fleet;
-use crate::gateway::fleet::residency::MAX_DELAYED_MODELS;
 use crate::gateway::fleet::residency::ResidencyPublisher;
+use crate::gateway::fleet::residency::max_delayed_models;
 use crate::gateway::fleet::residency::max_worker_loads;
 use crate::gateway::fleet::residency::update_interval_ms;
 use crate::gateway::orders::Order;
@@ -168,10 +168,11 @@
     let catalog = gateway.catalog()?;
     let fleet = gateway.fleet.borrow();
     let fleet = fleet.as_ref()?;
-    let loads = fleet.busiest_workers(max_worker_loads(fleet.worker_count()));
+    let workers = fleet.worker_count();
+    let loads = fleet.busiest_workers(max_worker_loads(workers));
     Some(FleetStatus {
         loads,
-        delayed_models: fleet.delayed_models(&catalog, MAX_DELAYED_MODELS, now_ms),
+        delayed_models: fleet.delayed_models(&catalog, max_delayed_models(workers), now_ms),
     })
 }
 
--- a/lovageridge/src/gateway/fleet/residency.rs
+++ b/lovageridge/src/gateway/fleet/residency.rs
@@ -25,8 +25,10 @@
 const PROMPT_PEERS: usize = 32;
 /// Instances for which the shortest time between two updates grows by one ms.
 const PEERS_PER_INTERVAL_MS: usize = 8;
-/// Delayed models per heartbeat; together with the loads of workers they fit into a narrow link.
-pub const MAX_DELAYED_MODELS: usize = 12;
+/// Least number of delayed models per heartbeat.
+const DELAYED_MODELS_MIN: usize = 12;
+/// Workers for each further delayed model; together with the loads of workers they fit into a narrow link.
+const WORKERS_PER_DELAYED_MODEL: usize = 6;
 /// Heartbeats that repeat a change, so that it arrives despite two lost datagrams in a row.
 const CHANGE_REPEATS: u8 = 2;
 
@@ -42,6 +44,11 @@
     (workers * WORKER_LOADS_PCT / 100).max(WORKER_LOADS_MIN)
 }
 
+/// Returns the number of delayed models per heartbeat, in a deployment of `workers`.
+pub fn max_delayed_models(workers: usize) -> usize {
+    (workers / WORKERS_PER_DELAYED_MODEL).max(DELAYED_MODELS_MIN)
+}
+
 /// Returns the shortest time between two updates for `peers` instances, in ms. Each costs the lead a
 /// datagram for many of them, so changes are collected meanwhile.
 pub fn update_interval_ms(peers: usize) -> u64 {
--- a/lovageridge/src/gateway/fleet/residency/tests.rs
+++ b/lovageridge/src/gateway/fleet/residency/tests.rs
@@ -6,8 +6,8 @@
 use crate::gateway::directory::WorkerView;
 use crate::gateway::fleet::residency::DueUpdate;
 use crate::gateway::fleet::residency::HEARTBEAT_MS;
-use crate::gateway::fleet::residency::MAX_DELAYED_MODELS;
 use crate::gateway::fleet::residency::ResidencyPublisher;
+use crate::gateway::fleet::residency::max_delayed_models;
 use crate::gateway::fleet::residency::max_worker_loads;
 use crate::gateway::peers::DelayedModel;
 use crate::gateway::peers::FleetStatus;
@@ -55,7 +55,7 @@
         |at| DelayedModel { model: tag(&[&format!("daka5{at:05}")]), usable_in_ms: 30_000 };
     FleetStatus {
         loads: (0..max_worker_loads(90)).map(load).collect(),
-        delayed_models: (0..MAX_DELAYED_MODELS).map(delayed).collect(),
+        delayed_models: (0..max_delayed_models(90)).map(delayed).collect(),
     }
 }
 
--- a/lovageridge/src/gateway/fleet/tests/weight_store.rs
+++ b/lovageridge/src/gateway/fleet/tests/weight_store.rs
@@ -1,5 +1,6 @@
 //! Tests of loads from the weight store.
 
+use crate::gateway::fleet::residency::max_delayed_models;
 use crate::gateway::fleet::tests::RECORD_INTERVAL_MS;
 use crate::gateway::fleet::tests::STORE_LOAD_MS;
 use crate::gateway::fleet::tests::Simulation;
@@ -158,3 +159,23 @@
     }
     assert!(sim.replica_count("m15") >= 1, "the model without a copy was not loaded");
 }
+
+/// Many models that only the weight store has are in demand at once, in a deployment of 240 workers. Callers of
+/// those that are not told as delayed wait for a load that does not come, and are refused then.
+#[test]
+fn many_models_are_told_as_delayed_in_a_large_deployment() {
+    let mut sim = Simulation::new(240, 300);
+    for (_, worker) in sim.workers.iter_mut() {
+        worker.on_disk.retain(|name| name.len() == 3);
+    }
+    for record in sim.records() {
+        sim.fleet.on_worker_record(&record, sim.now_ms);
+    }
+    for model in 250..290 {
+        sim.add_request(&format!("m{model}"), None, 3000);
+    }
+    sim.run_for_ms(500);
+    let most = max_delayed_models(sim.fleet.worker_count());
+    let delayed = sim.fleet.delayed_models(&sim.catalog, most, sim.now_ms);
+    assert_eq!(delayed.len(), 40, "all of them");
+}
