Bound every part of a lead's tick; measure the plan against workers, models and demand

Callers saw nothing yet; with more workers the parts beside waiting demand had no bound, and the free memory of each worker was computed from the adapters of all models: 240 x 782 looks in 60 ms. Change: weight store, waiting demand, replicas and free memory share 4,000 steps a tick and go on where they ended; sizes over all models are computed once a configuration.

--- a/lovageridge/src/gateway/catalog.rs
+++ b/lovageridge/src/gateway/catalog.rs
@@ -85,7 +85,49 @@
     /// Loads from the weight store allowed per second.
     pub store_loads_per_s: f64,
     /// Models by name.
-    pub models: Table<String, Model>,
+    pub models: Models,
+}
+
+/// Models of an engine by name, with what is looked up of all of them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Models {
+    models: Table<String, Model>,
+    largest_adapter_mb: u64,
+    smallest_mb: u64,
+}
+
+impl Models {
+    /// Returns the model with this name.
+    pub fn get(&self, name: &str) -> Option<&Model> {
+        self.models.get(name)
+    }
+
+    /// Returns whether there is a model with this name.
+    pub fn contains(&self, name: &str) -> bool {
+        self.models.contains(name)
+    }
+
+    /// Returns the size of the largest adapter, in MB; 0 without models.
+    pub fn largest_adapter_mb(&self) -> u64 {
+        self.largest_adapter_mb
+    }
+
+    /// Returns the size of the smallest model, in MB; 0 without models.
+    pub fn smallest_mb(&self) -> u64 {
+        self.smallest_mb
+    }
+}
+
+impl FromIterator<(String, Model)> for Models {
+    fn from_iter<I: IntoIterator<Item = (String, Model)>>(rows: I) -> Self {
+        let models = Table::from_iter(rows);
+        let sizes = || models.values();
+        Self {
+            largest_adapter_mb: sizes().map(|model| model.adapter_mb).max().unwrap_or(0),
+            smallest_mb: sizes().map(|model| model.size_mb).min().unwrap_or(0),
+            models,
+        }
+    }
 }
 
 /// A service and the capabilities of its workers.
--- a/lovageridge/src/gateway/fleet.rs
+++ b/lovageridge/src/gateway/fleet.rs
@@ -108,6 +108,11 @@
     update_interval_ms: u64,
     // Target at which the next tick goes on, if the last one had to stop before its end.
     resume_at: Option<TargetKey>,
+    // Model and worker at which replicas and free memory are looked at first, for the same reason.
+    next_replica_model: usize,
+    next_idle_worker: usize,
+    // Number of steps at which the present tick ends.
+    steps_limit: u64,
     steps: u64,
 }
 
@@ -126,6 +131,9 @@
             next_preload_ms: 0,
             update_interval_ms: 0,
             resume_at: None,
+            next_replica_model: 0,
+            next_idle_worker: 0,
+            steps_limit: 0,
             steps: 0,
         }
     }
--- a/lovageridge/src/gateway/fleet/plan.rs
+++ b/lovageridge/src/gateway/fleet/plan.rs
@@ -37,8 +37,10 @@
 const ADAPTER_IDLE_MS: u64 = 400;
 /// Interval at which free memory is filled, in ms.
 const PRELOAD_INTERVAL_MS: u64 = 60;
-/// Steps after which a tick makes no further target available.
+/// Steps after which a tick looks at nothing further.
 pub(super) const MAX_STEPS_PER_TICK: u64 = 4000;
+/// Steps after which a tick makes no further target available, so that some are left for replicas.
+const MAX_STEPS_FOR_TARGETS: u64 = 3000;
 
 /// Number of a model, and the adapter if one is meant.
 pub(super) type TargetKey = (usize, Option<String>);
@@ -73,6 +75,7 @@
         let mut calls = Vec::new();
         self.cancel_obsolete_loads(now_ms);
         if may_order {
+            self.steps_limit = self.steps + MAX_STEPS_PER_TICK;
             self.add_stored_replicas(catalog, load_window_ms, now_ms);
             self.make_demand_available(catalog, load_window_ms, &mut calls, now_ms);
             self.add_replicas(catalog, load_window_ms, now_ms);
@@ -101,9 +104,9 @@
         {
             demands.rotate_left(index);
         }
-        let steps_limit = self.steps + MAX_STEPS_PER_TICK;
+        let steps_limit = self.steps + MAX_STEPS_FOR_TARGETS;
         for demand in demands {
-            if self.steps >= steps_limit {
+            if self.steps >= steps_limit.min(self.steps_limit) {
                 self.resume_at = Some((demand.model, demand.adapter));
                 break;
             }
@@ -402,11 +405,21 @@
             .filter(|worker| worker.can_start_load(now_ms))
             .map(|worker| worker.id.clone())
             .collect();
-        for id in idle_workers {
+        let first = self.next_idle_worker.min(idle_workers.len());
+        self.next_idle_worker = 0;
+        for (at, id) in idle_workers.into_iter().enumerate().skip(first) {
+            if self.steps >= self.steps_limit {
+                self.next_idle_worker = at;
+                break;
+            }
             let Some(worker) = self.workers.get(id.as_str()) else { continue };
             let Some(engine) = catalog.engine(&worker.service) else { continue };
             let free_mb = worker.free_mb(engine);
             self.steps += 1;
+            if free_mb < engine.models.smallest_mb() {
+                continue;
+            }
+            self.steps += (worker.in_memory.len() + worker.on_disk.len()) as u64;
             let cached = worker.in_memory.iter().chain(&worker.on_disk);
             let fitting = cached.filter(|name| {
                 let size_mb = engine.models.get(name.as_str()).map(|model| model.size_mb);
--- a/lovageridge/src/gateway/fleet/replicas.rs
+++ b/lovageridge/src/gateway/fleet/replicas.rs
@@ -42,12 +42,19 @@
     /// of models with many requests in progress, and replicas of models that only workers at their
     /// limits hold.
     pub(super) fn add_replicas(&mut self, catalog: &Catalog, load_window_ms: u64, now_ms: u64) {
-        for number in 0..self.index.models().len() {
+        let models = self.index.models().len();
+        let first = self.next_replica_model;
+        for number in (first..models).chain(0..first.min(models)) {
+            if self.steps >= self.steps_limit {
+                self.next_replica_model = number;
+                return;
+            }
             let entry = self.index.model(number);
             let is_possible = entry.usage.is_some() && !entry.cached.is_empty();
             if !is_possible || entry.replicas.iter().any(|replica| !replica.is_ready) {
                 continue;
             }
+            self.steps += 1;
             let (service, model) = &entry.key;
             let Some(engine) = catalog.engine(service) else { continue };
             let rate = entry.rate_per_s(now_ms);
--- a/lovageridge/src/gateway/fleet/tests/large.rs
+++ b/lovageridge/src/gateway/fleet/tests/large.rs
@@ -121,9 +121,9 @@
         ticks.push(fleet.take_steps());
     }
     let most = ticks.iter().max().expect("ticks");
-    // Beyond these, each worker and its models are looked at once for a load from the weight store, and
-    // each worker once for free memory.
-    let slack = (240 * (HELD + 2)) as u64;
+    // The last step may be a placement from the weight store, for which each worker and its models are
+    // looked at.
+    let slack = (240 * (HELD + 1)) as u64;
     assert!(*most <= MAX_STEPS_PER_TICK + slack, "{ticks:?}");
     let missing: Vec<String> = (740..MODELS)
         .map(model)
--- a/lovageridge/src/gateway/fleet/worker.rs
+++ b/lovageridge/src/gateway/fleet/worker.rs
@@ -386,7 +386,7 @@
     /// Returns the accelerator memory for models, in MB; the memory of all adapter slots is
     /// reserved.
     pub fn memory_for_models_mb(engine: &Engine) -> u64 {
-        let adapter_mb = engine.models.values().map(|model| model.adapter_mb).max().unwrap_or(0);
+        let adapter_mb = engine.models.largest_adapter_mb();
         engine.memory_mb.saturating_sub(adapter_mb * engine.adapter_slots as u64)
     }
 
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod list;
 pub mod log;
 pub mod measure;
+pub mod planner;
 pub mod platform;
 pub mod process;
 pub mod relay;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -6,6 +6,7 @@
 use standins::demo;
 use standins::limits;
 use standins::measure;
+use standins::planner;
 use standins::platform;
 use standins::replay;
 use standins::soak;
@@ -33,6 +34,8 @@
     Control(measure::MeasureOptions),
     /// measure control at rest and added latency of a gateway on the users' platform
     Gateway(measure::MeasureOptions),
+    /// measure what a lead's plan costs against workers, models and demand
+    Planner(planner::PlannerOptions),
     /// replay keep-alive policies against baselines
     Replay(replay::ReplayOptions),
     /// harm a deployment of real processes at random and check the promises meanwhile
@@ -48,6 +51,7 @@
         Some(Command::Control(options)) => measure::control(&options),
         Some(Command::Gateway(options)) => measure::binary(options.binary)
             .and_then(|binary| platform::measure::print_measurements(&binary)),
+        Some(Command::Planner(options)) => planner::print(&options),
         Some(Command::Replay(options)) => replay::print(&options),
         Some(Command::Soak(options)) => soak::run_seeds(&options),
         None => {
