Review scripts: workers end with their script

Cause: a script that ended early left the worker processes of cases 3 and 4 behind.

Done: the workers end when their standard input closes.

--- a/review/harness/src/batch_crash.rs
+++ b/review/harness/src/batch_crash.rs
@@ -25,6 +25,7 @@
 use crate::site::HOST;
 use crate::site::Record;
 use crate::site::Site;
+use crate::site::exit_with_script;
 use crate::site::free_port;
 use crate::site::request;
 use crate::site::unix_ms;
@@ -83,6 +84,7 @@
 ///
 /// Arguments: id, port, zone, address of the store, whether it holds the model, whether the part crashes it.
 pub fn run_worker(arguments: &[String]) {
+    exit_with_script();
     let [id, port, zone, store, holds_model, is_deadly] = arguments else { return };
     let addr = SocketAddr::from((Ipv4Addr::LOCALHOST, port.parse().unwrap_or(0)));
     let Ok(listener) = TcpListener::bind(addr) else { return };
@@ -292,7 +294,7 @@
                 let started = Command::new(&program)
                     .args(["crash-worker", &id, &port.to_string(), zone, &store])
                     .args([holds_model.to_string(), deadly.to_string()])
-                    .stdin(Stdio::null())
+                    .stdin(Stdio::piped())
                     .stdout(Stdio::piped())
                     .spawn();
                 let Ok(mut process) = started else { return };
--- a/review/harness/src/cut_stream.rs
+++ b/review/harness/src/cut_stream.rs
@@ -23,6 +23,7 @@
 use crate::site::HOST;
 use crate::site::Record;
 use crate::site::Site;
+use crate::site::exit_with_script;
 use crate::site::request;
 use crate::site::signal;
 use crate::site::unix_ms;
@@ -53,6 +54,7 @@
 
 /// Runs a worker in a process of its own until it is killed; it prints its address and what it runs.
 pub fn run_worker(id: &str) {
+    exit_with_script();
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     println!("{}", listener.local_addr().expect("its address"));
     let (id, born) = (id.to_owned(), unix_ms());
@@ -139,7 +141,7 @@
         let born = unix_ms();
         let mut child = Command::new(program)
             .args(["stream-worker", id])
-            .stdin(Stdio::null())
+            .stdin(Stdio::piped())
             .stdout(Stdio::piped())
             .spawn()
             .expect("a worker process");
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -236,6 +236,15 @@
     }
 }
 
+/// Ends this process, a worker that a script has started, as soon as the script has ended.
+pub fn exit_with_script() {
+    std::thread::spawn(|| {
+        // The script holds the other end of the standard input and writes nothing.
+        let _ = std::io::copy(&mut std::io::stdin(), &mut std::io::sink());
+        std::process::exit(0);
+    });
+}
+
 /// Sends a signal by its name to a process that this script has started.
 pub fn signal(process: u32, name: &str) {
     let _ = Command::new("kill").arg(format!("-{name}")).arg(process.to_string()).status();
