--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -6,6 +6,7 @@
 mod extra_answer;
 mod http;
 mod newline_flood;
+mod replaced_names;
 mod site;
 mod store;
 
@@ -39,6 +40,7 @@
         "cut-stream" => cut_stream::run(&record, has_trouble),
         "newline-flood" => newline_flood::run(&record, has_trouble),
         "extra-answer" => extra_answer::run(&record, has_trouble),
+        "replaced-names" => replaced_names::run(&record, has_trouble),
         _ => {
             println!("cannot run: unknown case {case}");
             return ExitCode::from(EXIT_CANNOT_RUN as u8);
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -28,6 +28,9 @@
 /// Longest time until all instances are ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Topic in which instances publish their names and addresses.
+const PEERS_TOPIC: &str = "keyed.peers";
+
 /// Exit status of a script that could not run.
 pub const EXIT_CANNOT_RUN: i32 = 2;
 
@@ -120,42 +123,76 @@
 
     /// Starts one instance for each zone in `zones` and waits until all are ready.
     pub fn start_instances(&mut self, zones: &[&str]) {
-        let seeds: Vec<String> =
-            (0..zones.len().min(3)).map(|at| format!("{}:8144", instance_ip(at))).collect();
         for zone in zones {
             let number = self.instances.len();
-            let ip = instance_ip(number);
-            let (front, ready) = (free_port(ip), free_port(ip));
-            let name = format!("edge-{zone}-{number}");
-            let (port, last_port) = (self.internal_port, self.internal_port + 15);
-            // The settings of an installation with three zones, as the users' pages list them.
-            let text = format!(
-                "NodeName={name}\nRole=gateway\nMachineClass=edge\nServes=edge,control_plane\nIp={ip}\nZone={zone}\n\
-                 Region=om-north\nListen.Front={ip}:{front}\nListen.Ready={ip}:{ready}\nListen.Control={ip}:8144\n\
-                 InternalPorts={port},{last_port}\nSeeds={}\nBootstrap=true\nLimits.CpuShare=0.25\nLimits.Cores=1\n\
-                 Limits.MemoryMb=260\nLimits.MaxFds=4100\nDiscovery=platform\nEntry=vip\nBeatIntervalMs=1200\n\
-                 Bounds.ContactMs=3000\nBounds.AckMs=4000\nBounds.CatchUpS=4\nBounds.DrainMs=2000\nBounds.GraceS=8\n\
-                 Bounds.LossSlackMs=200\nBounds.ConfigApplyMs=2000\nBounds.DowngradeMs=250\nBounds.OuterMs=5000\n\
-                 Bounds.RetryBudgetRatio=0.2\nBounds.BudgetWindowS=10\nBounds.BudgetSlack=56\nBounds.RecoveryS=12\n\
-                 Bounds.PassMs=120\nBounds.RetryAfterS=0\nBounds.RequireFence=true\nBounds.LeaseMs=3000\n\
-                 Bounds.ThawMs=300\nBounds.CeilingWindowS=5\nBounds.CeilingOvershoot=1.1\nPlatform.Address={}\n\
-                 Platform.form=log\nPlatform.WritesPerS=400\nPlatform.ReadsPerS=2000\nPlatform.parts=32\n\
-                 Platform.keep_s=300\nPlatform.PartMb=200\nPlatform.TtlMinMs=1000\n",
-                seeds.join(","),
-                self.store.addr
-            );
-            let settings = self.folder.join(format!("{name}.conf"));
-            std::fs::write(&settings, text).expect("settings can be written");
-            let instance = Instance {
-                front: SocketAddr::new(IpAddr::V4(ip), front),
-                ready: SocketAddr::new(IpAddr::V4(ip), ready),
-                log: self.folder.join(format!("{name}.log")),
-                name,
-                settings,
-                child: None,
-            };
+            let instance =
+                self.instance(format!("edge-{zone}-{number}"), zone, instance_ip(number));
+            self.instances.push(instance);
+        }
+        self.start_and_wait();
+    }
+
+    /// The same, with instances that are numbered from `first` on.
+    pub fn start_numbered_instances(&mut self, zones: &[&str], first: usize) {
+        for zone in zones {
+            let number = self.instances.len();
+            let name = format!("edge-{:04}", first + number);
+            let instance = self.instance(name, zone, instance_ip(number));
             self.instances.push(instance);
         }
+        self.start_and_wait();
+    }
+
+    /// Runs `count` instances that are numbered from `first` on until the store has their names, and then kills
+    /// them; returns whether it got the names.
+    pub fn run_replaced_machines(&mut self, first: usize, count: usize) -> bool {
+        let known = self.store.key_count(PEERS_TOPIC);
+        let ip = |at: usize| Ipv4Addr::new(127, 0, 1, 1 + at as u8);
+        let machines = (0..count)
+            .map(|at| self.instance(format!("edge-{:04}", first + at), "sohar-a", ip(at)));
+        let mut machines: Vec<Instance> = machines.collect();
+        machines.iter_mut().for_each(Instance::start);
+        let until = Instant::now() + READY_TIMEOUT;
+        while self.store.key_count(PEERS_TOPIC) < known + count && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        machines.iter_mut().for_each(Instance::kill);
+        self.store.key_count(PEERS_TOPIC) == known + count
+    }
+
+    fn instance(&self, name: String, zone: &str, ip: Ipv4Addr) -> Instance {
+        let (front, ready) = (free_port(ip), free_port(ip));
+        let (port, last_port) = (self.internal_port, self.internal_port + 15);
+        let seeds: Vec<String> = (0..3).map(|at| format!("{}:8144", instance_ip(at))).collect();
+        // The settings of an installation with three zones, as the users' pages list them.
+        let text = format!(
+            "NodeName={name}\nRole=gateway\nMachineClass=edge\nServes=edge,control_plane\nIp={ip}\nZone={zone}\n\
+             Region=om-north\nListen.Front={ip}:{front}\nListen.Ready={ip}:{ready}\nListen.Control={ip}:8144\n\
+             InternalPorts={port},{last_port}\nSeeds={}\nBootstrap=true\nLimits.CpuShare=0.25\nLimits.Cores=1\n\
+             Limits.MemoryMb=260\nLimits.MaxFds=4100\nDiscovery=platform\nEntry=vip\nBeatIntervalMs=1200\n\
+             Bounds.ContactMs=3000\nBounds.AckMs=4000\nBounds.CatchUpS=4\nBounds.DrainMs=2000\nBounds.GraceS=8\n\
+             Bounds.LossSlackMs=200\nBounds.ConfigApplyMs=2000\nBounds.DowngradeMs=250\nBounds.OuterMs=5000\n\
+             Bounds.RetryBudgetRatio=0.2\nBounds.BudgetWindowS=10\nBounds.BudgetSlack=56\nBounds.RecoveryS=12\n\
+             Bounds.PassMs=120\nBounds.RetryAfterS=0\nBounds.RequireFence=true\nBounds.LeaseMs=3000\n\
+             Bounds.ThawMs=300\nBounds.CeilingWindowS=5\nBounds.CeilingOvershoot=1.1\nPlatform.Address={}\n\
+             Platform.form=log\nPlatform.WritesPerS=400\nPlatform.ReadsPerS=2000\nPlatform.parts=32\n\
+             Platform.keep_s=300\nPlatform.PartMb=200\nPlatform.TtlMinMs=1000\n",
+            seeds.join(","),
+            self.store.addr
+        );
+        let settings = self.folder.join(format!("{name}.conf"));
+        std::fs::write(&settings, text).expect("settings can be written");
+        Instance {
+            front: SocketAddr::new(IpAddr::V4(ip), front),
+            ready: SocketAddr::new(IpAddr::V4(ip), ready),
+            log: self.folder.join(format!("{name}.log")),
+            name,
+            settings,
+            child: None,
+        }
+    }
+
+    fn start_and_wait(&mut self) {
         self.instances.iter_mut().filter(|one| one.child.is_none()).for_each(Instance::start);
         let until = Instant::now() + READY_TIMEOUT;
         while !self.instances.iter().all(Instance::is_ready) {
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -16,6 +16,8 @@
 use crate::http;
 use crate::http::Message;
 
+/// Largest number of keys in a response.
+const PAGE_KEYS: usize = 500;
 /// Header of all responses: the store is never restored from a copy here.
 const ERA: &str = "Store-Era: 0\r\n";
 
@@ -59,6 +61,11 @@
         self.shared.lock().entry(topic.to_owned()).or_default().append(record, true);
         self.shared.changed.notify_all();
     }
+
+    /// Returns the number of keys that have a value.
+    pub fn key_count(&self, topic: &str) -> usize {
+        self.shared.lock().get(topic).map_or(0, |topic| topic.newest.len())
+    }
 }
 
 impl Topic {
@@ -86,7 +93,7 @@
         let (status, body) = match path {
             "/lovageridge/log-append" => self.append(&topic, request),
             "/lovageridge/log-read" => self.read(&topic, request),
-            "/lovageridge/log-newest" => ("200 OK", self.newest(&topic)),
+            "/lovageridge/log-newest" => ("200 OK", self.newest(&topic, request.query("after"))),
             _ => ("404 Not Found", b"{}".to_vec()),
         };
         stream.write_all(&http::response(status, ERA, &body)).is_ok()
@@ -140,15 +147,19 @@
         ("200 OK", bytes)
     }
 
-    fn newest(&self, name: &str) -> Vec<u8> {
+    /// Returns the newest records of the keys that follow `after`, in order of key, up to a page.
+    fn newest(&self, name: &str, after: Option<&str>) -> Vec<u8> {
         let mut topics = self.lock();
         let topic = topics.entry(name.to_owned()).or_default();
-        let items = topic.newest.iter().map(|(key, (value, offset))| {
+        let rest = || {
+            topic.newest.iter().filter(|(key, _)| after.is_none_or(|after| key.as_str() > after))
+        };
+        let items = rest().take(PAGE_KEYS).map(|(key, (value, offset))| {
             format!("{{\"Key\":\"{key}\",\"Value\":\"{}\",\"Offset\":{offset}}}", base64(value))
         });
         let items: Vec<String> = items.collect();
-        let end = topic.records.len();
-        format!("{{\"items\":[{}],\"HasMore\":false,\"EndOffset\":{end}}}", items.join(","))
+        let (has_more, end) = (rest().count() > PAGE_KEYS, topic.records.len());
+        format!("{{\"items\":[{}],\"HasMore\":{has_more},\"EndOffset\":{end}}}", items.join(","))
             .into_bytes()
     }
 }
