Review case 2: bookings behind a balancer that probes readiness

Cause: clients abandon an idempotent request that is not read within a second, and the platform's balancer stops sending connections to an instance that misses its probes; the script did neither.

Done: bookings take the place of lookups, and a balancer picks the instance of each connection.

--- a/review/harness/src/newline_flood.rs
+++ b/review/harness/src/newline_flood.rs
@@ -15,6 +15,7 @@
 
 use crate::http;
 use crate::http::Message;
+use crate::site::Balancer;
 use crate::site::HOST;
 use crate::site::Record;
 use crate::site::Site;
@@ -27,13 +28,13 @@
 /// Events of a stream, and the time before each.
 const EVENTS: u64 = 40;
 const EVENT_INTERVAL: Duration = Duration::from_millis(45);
-/// Time that a lookup takes.
+/// Time that a booking takes.
 const WORK: Duration = Duration::from_millis(30);
-/// Time limit of lookups on their route, and how much later they must have an answer.
-const LOOK_TIMEOUT: Duration = Duration::from_millis(1200);
-const LOOK_SLACK: Duration = Duration::from_millis(500);
-/// Lookups and streams a second.
-const LOOKS_PER_S: u64 = 15;
+/// Time limit of bookings on their route, and how much later they must have an answer.
+const BOOK_TIMEOUT: Duration = Duration::from_millis(1200);
+const BOOK_SLACK: Duration = Duration::from_millis(500);
+/// Bookings and streams a second.
+const BOOKS_PER_S: u64 = 24;
 const STREAMS_PER_S: u64 = 3;
 /// Time of the load, and the part of it in which the worker is in trouble.
 const TIME: Duration = Duration::from_secs(16);
@@ -118,7 +119,7 @@
     }
 }
 
-fn handle_look(worker: &str, stream: &mut TcpStream, request: &Message) -> bool {
+fn handle_booking(worker: &str, stream: &mut TcpStream, request: &Message) -> bool {
     if request.header("x-lovageridge-expect-instance").is_some_and(|expected| expected != worker) {
         let headers = "X-Lovageridge-Not-Executed: 1\r\n";
         return stream.write_all(&http::response("421 Misdirected Request", headers, b"")).is_ok();
@@ -127,7 +128,7 @@
     thread::sleep(WORK);
     let headers =
         format!("X-Lovageridge-Attempt-Id: {id}\r\nX-Lovageridge-Server-Seal: {worker}.{id}\r\n");
-    stream.write_all(&http::response("200 OK", &headers, format!("free {id}").as_bytes())).is_ok()
+    stream.write_all(&http::response("200 OK", &headers, format!("booked {id}").as_bytes())).is_ok()
 }
 
 fn config() -> String {
@@ -136,7 +137,7 @@
          {{\"Name\":\"board-digest\",\"Host\":\"{HOST}\",\"PathPrefix\":\"/digest/\",\"RouteType\":\"streaming\",\
          \"TimeoutMs\":25000,\"TargetLatencyMs\":3000,\"Priority\":0,\"Service\":\"lm-pool\",\"MaxAttempts\":2,\
          \"Sticky\":true,\"Resumable\":true,\"TargetGapMs\":250}},\
-         {{\"Name\":\"slot-look\",\"Host\":\"{HOST}\",\"PathPrefix\":\"/look/\",\"RouteType\":\"idempotent\",\
+         {{\"Name\":\"slot-commit\",\"Host\":\"{HOST}\",\"PathPrefix\":\"/commit/\",\"RouteType\":\"non_idempotent\",\
          \"TimeoutMs\":{},\"TargetLatencyMs\":150,\"Priority\":2,\"Service\":\"booking-app\",\"MaxAttempts\":2,\
          \"Sticky\":false,\"Resumable\":false}}],\
          \"Services\":[{{\"Name\":\"lm-pool\",\"HealthPath\":\"/healthz\",\"MaxConns\":370,\"Protocol\":\"h1\",\
@@ -146,12 +147,12 @@
          {{\"Name\":\"booking-app\",\"HealthPath\":\"/healthz\",\"MaxConns\":110,\"Protocol\":\"h1\",\"Tls\":false}}],\
          \"Limits\":{{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\
          \"IdleTimeoutMs\":10000}}}}",
-        LOOK_TIMEOUT.as_millis()
+        BOOK_TIMEOUT.as_millis()
     )
 }
 
-/// A lookup: when it was sent, how long it took, and its status.
-type Look = (String, usize, Duration, Duration, u16);
+/// A booking: its id, the instance that it was sent to, when it was sent, how long it took, and its status.
+type Booking = (String, usize, Duration, Duration, u16);
 
 /// Runs the case; returns whether a rule was broken.
 pub fn run(record: &Record, has_trouble: bool) -> bool {
@@ -177,7 +178,7 @@
         let addr = listener.local_addr().expect("its address");
         let id = format!("i-b00{at}");
         entries.push((id.clone(), "booking-app", 6, addr, *zone));
-        http::serve(listener, move |stream, request| handle_look(&id, stream, request));
+        http::serve(listener, move |stream, request| handle_booking(&id, stream, request));
     }
     let store = site.store.clone();
     let beat = move |sequence: u64| {
@@ -206,7 +207,8 @@
     });
     thread::sleep(Duration::from_secs(2));
     let fronts: Vec<SocketAddr> = site.instances.iter().map(|one| one.front).collect();
-    let looks: Arc<Mutex<Vec<Look>>> = Arc::default();
+    let bookings: Arc<Mutex<Vec<Booking>>> = Arc::default();
+    let balancer = Balancer::start(&site.instances, record);
     let stream_record = record.clone();
     let mut clients = Vec::new();
     let start = Instant::now();
@@ -216,13 +218,13 @@
         let is_troubled =
             has_trouble && (TROUBLE_FROM..TROUBLE_FROM + TROUBLE_TIME).contains(&elapsed);
         models[0].is_troubled.store(is_troubled, Ordering::SeqCst);
-        let at = number as usize % fronts.len();
-        let (to, record, looks) = (fronts[at], record.clone(), Arc::clone(&looks));
+        let at = balancer.choose(number as usize % fronts.len());
+        let (to, record, bookings) = (fronts[at], record.clone(), Arc::clone(&bookings));
         clients.push(thread::spawn(move || {
-            let id = format!("l{number:05}");
+            let id = format!("b{number:05}");
             let sent = start.elapsed();
             record.line(format!("client sends {id} to instance {at}"));
-            let bytes = request("GET", &format!("/look/{id}"), &id, 2500, "", "");
+            let bytes = request("POST", &format!("/commit/{id}"), &id, 2500, "", "slot");
             let answer = http::send(to, &bytes, Duration::from_millis(2500));
             let took = start.elapsed() - sent;
             record.line(format!(
@@ -230,7 +232,7 @@
                 answer.status,
                 took.as_millis()
             ));
-            looks.lock().unwrap_or_else(PoisonError::into_inner).push((
+            bookings.lock().unwrap_or_else(PoisonError::into_inner).push((
                 id,
                 at,
                 sent,
@@ -238,8 +240,9 @@
                 answer.status,
             ));
         }));
-        if number % (LOOKS_PER_S / STREAMS_PER_S) == 0 {
-            let at = (number / (LOOKS_PER_S / STREAMS_PER_S)) as usize % fronts.len();
+        if number % (BOOKS_PER_S / STREAMS_PER_S) == 0 {
+            let at =
+                balancer.choose((number / (BOOKS_PER_S / STREAMS_PER_S)) as usize % fronts.len());
             let (to, record) = (fronts[at], stream_record.clone());
             clients.push(thread::spawn(move || {
                 let id = format!("d{number:05}");
@@ -260,16 +263,18 @@
             }));
         }
         number += 1;
-        thread::sleep(Duration::from_micros(1_000_000 / LOOKS_PER_S));
+        thread::sleep(Duration::from_micros(1_000_000 / BOOKS_PER_S));
     }
     for client in clients {
         let _ = client.join();
     }
+    record.tell(format!("{} readiness probes were missed", balancer.misses()));
     site.close();
-    let looks = looks.lock().unwrap_or_else(PoisonError::into_inner);
-    // Judged are lookups that had no answer within the time limit of their route.
-    let over: Vec<&Look> = looks.iter().filter(|(_, _, _, took, _)| *took > LOOK_TIMEOUT).collect();
-    let late = over.iter().filter(|(_, _, _, took, _)| *took > LOOK_TIMEOUT + LOOK_SLACK).count();
+    let bookings = bookings.lock().unwrap_or_else(PoisonError::into_inner);
+    // Judged are bookings that had no answer within the time limit of their route.
+    let over: Vec<&Booking> =
+        bookings.iter().filter(|(_, _, _, took, _)| *took > BOOK_TIMEOUT).collect();
+    let late = over.iter().filter(|(_, _, _, took, _)| *took > BOOK_TIMEOUT + BOOK_SLACK).count();
     for (id, at, sent, took, status) in &over {
         record.line(format!(
             "{id} to instance {at}, sent at {} ms, had no answer within its time limit: {status} after {} ms",
@@ -277,11 +282,12 @@
             took.as_millis()
         ));
     }
-    let by_status = |status: u16| looks.iter().filter(|(_, _, _, _, got)| *got == status).count();
+    let by_status =
+        |status: u16| bookings.iter().filter(|(_, _, _, _, got)| *got == status).count();
     record.tell(format!(
-        "{} lookups, {} answered 200, {} without any answer; {} had none at their TimeoutMs, {late} of these none \
+        "{} bookings, {} answered 200, {} without any answer; {} had none at their TimeoutMs, {late} of these none \
          half a second later",
-        looks.len(),
+        bookings.len(),
         by_status(200),
         by_status(0),
         over.len()
@@ -290,8 +296,8 @@
     if is_broken {
         record.tell("CONFIG: more than half of the requests over their TimeoutMs had no answer half a second later");
     }
-    if by_status(200) < looks.len() / 4 {
-        println!("cannot run: fewer than a quarter of the lookups were served");
+    if by_status(200) < bookings.len() / 4 {
+        println!("cannot run: fewer than a quarter of the bookings were served");
         std::process::exit(crate::site::EXIT_CANNOT_RUN);
     }
     is_broken
--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -15,6 +15,9 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 use std::time::SystemTime;
@@ -28,6 +31,8 @@
 /// Longest time until all instances are ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 
+/// Time between two readiness probes of the balancer.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Topic in which instances publish their names and addresses.
 const PEERS_TOPIC: &str = "keyed.peers";
 
@@ -67,7 +72,8 @@
     pub name: String,
     /// Address that clients connect to.
     pub front: SocketAddr,
-    ready: SocketAddr,
+    /// Address of the readiness check.
+    pub ready: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -260,8 +266,7 @@
 
     /// Returns whether the readiness check succeeds.
     pub fn is_ready(&self) -> bool {
-        let request = b"GET /lovageridge/readiness HTTP/1.1\r\nHost: ready\r\n\r\n";
-        http::send(self.ready, request, Duration::from_millis(500)).status == 200
+        is_ready(self.ready)
     }
 
     /// Kills the process.
@@ -273,6 +278,62 @@
     }
 }
 
+/// Returns whether the readiness check at an address succeeds.
+pub fn is_ready(addr: SocketAddr) -> bool {
+    let request = b"GET /lovageridge/readiness HTTP/1.1\r\nHost: ready\r\n\r\n";
+    http::send(addr, request, Duration::from_millis(500)).status == 200
+}
+
+/// The balancer: it probes the readiness of the instances once a second and takes those out of rotation that
+/// have missed two probes in a row.
+pub struct Balancer {
+    in_rotation: Vec<AtomicBool>,
+    misses: AtomicUsize,
+}
+
+impl Balancer {
+    /// Starts to probe the instances, which are ready.
+    pub fn start(instances: &[Instance], record: &Record) -> Arc<Self> {
+        let in_rotation = instances.iter().map(|_| AtomicBool::new(true)).collect();
+        let balancer = Arc::new(Self { in_rotation, misses: AtomicUsize::new(0) });
+        for (at, instance) in instances.iter().enumerate() {
+            let (balancer, record) = (Arc::clone(&balancer), record.clone());
+            let (addr, name) = (instance.ready, instance.name.clone());
+            std::thread::spawn(move || balancer.probe(at, addr, &name, &record));
+        }
+        balancer
+    }
+
+    fn probe(&self, at: usize, addr: SocketAddr, name: &str, record: &Record) {
+        let mut misses = 0;
+        loop {
+            let next = Instant::now() + PROBE_INTERVAL;
+            if is_ready(addr) {
+                misses = 0;
+            } else {
+                misses += 1;
+                self.misses.fetch_add(1, Ordering::SeqCst);
+                record.line(format!("{name} misses a readiness probe"));
+            }
+            self.in_rotation[at].store(misses < 2, Ordering::SeqCst);
+            std::thread::sleep(next.saturating_duration_since(Instant::now()));
+        }
+    }
+
+    /// Returns the instance for a new connection of a client in the zone of the instance `home`, which is the
+    /// only one there.
+    pub fn choose(&self, home: usize) -> usize {
+        let count = self.in_rotation.len();
+        let is_in = |at: &usize| self.in_rotation[*at].load(Ordering::SeqCst);
+        (0..count).map(|step| (home + step) % count).find(is_in).unwrap_or(home)
+    }
+
+    /// Returns the number of missed probes.
+    pub fn misses(&self) -> usize {
+        self.misses.load(Ordering::SeqCst)
+    }
+}
+
 /// Ends this process, a worker that a script has started, as soon as the script has ended.
 pub fn exit_with_script() {
     std::thread::spawn(|| {
