--- a/review/harness/src/site.rs
+++ b/review/harness/src/site.rs
@@ -167,7 +167,7 @@
     }
 
     fn instance(&self, name: String, zone: &str, ip: Ipv4Addr) -> Instance {
-        let (front, ready) = (free_port(ip), free_port(ip));
+        let (front, ready) = self.free_ports(ip);
         let (port, last_port) = (self.internal_port, self.internal_port + 15);
         let seeds: Vec<String> = (0..3).map(|at| format!("{}:8144", instance_ip(at))).collect();
         // The settings of an installation with three zones, as the users' pages list them.
@@ -198,6 +198,21 @@
         }
     }
 
+    /// Returns two free ports of an address that are none of those between instances.
+    fn free_ports(&self, ip: Ipv4Addr) -> (u16, u16) {
+        let internal = self.internal_port..=self.internal_port + 15;
+        loop {
+            // Both are open at the same time, so that they differ.
+            let listen = || TcpListener::bind((ip, 0)).expect("a free port");
+            let (first, second) = (listen(), listen());
+            let port = |listener: &TcpListener| listener.local_addr().expect("its address").port();
+            let (first, second) = (port(&first), port(&second));
+            if !internal.contains(&first) && !internal.contains(&second) {
+                return (first, second);
+            }
+        }
+    }
+
     fn start_and_wait(&mut self) {
         self.instances.iter_mut().filter(|one| one.child.is_none()).for_each(Instance::start);
         let until = Instant::now() + READY_TIMEOUT;
