Compare the id of a worker's response before anything it says is used

What callers saw: bookings that were answered 200 and had run at two workers; others would have been refused with 503, which states that they have not run, though they had.

Cause: send() applied "not executed", the status 421, the load and the worker's health before it compared the response's id with that of the request. A late copy of a rejection of another request was taken for one of the request in progress.

Test: two new cases of a_non_idempotent_request_runs_once_and_is_not_reported_as_not_run and two of the three of a_response_to_another_request_says_nothing_of_its_worker failed before, all pass now.

Why it works: the id is compared directly after the head is parsed, so no statement is read from a response of another request; whether the request ran is then unknown, its connection is closed, and the worker counts as having failed. The separate comparisons for limits, leaving and times of rejection are no longer needed.

--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -192,22 +192,25 @@
         }
     };
     let outcome = headers::parse_response(response.headers());
-    record_response(gateway, call, chosen, &outcome, response.status(), now_ms - started_ms);
-    if outcome.leaving && is_from_worker(call, &outcome, response.status()) {
+    let status = response.status();
+    if outcome.id.as_deref() != call.fields.id.as_deref() {
+        // The response belongs to another request and states nothing about this one, which may have run.
+        // Dropping `sender` closes the connection.
+        let detail = format!("{status} to {}", outcome.id.as_deref().unwrap_or("none"));
+        let what = "answer of another request";
+        record_failed(gateway, call, attempts, chosen, "foreign", what, &detail);
+        return SendResult::Unknown { cause: "the worker's answer was not for this request" };
+    }
+    record_response(gateway, call, chosen, &outcome, status, now_ms - started_ms);
+    // After an address is given to another worker, that one responds with 421.
+    if outcome.leaving && status != StatusCode::MISDIRECTED_REQUEST {
         record_leaving(gateway, &chosen.id);
     }
-    let status = response.status();
     if outcome.not_executed || status == StatusCode::MISDIRECTED_REQUEST {
         count_send(gateway, call, attempts, chosen, NOT_EXECUTED);
         log_send_failed(gateway, call, chosen, "not executed", status.as_str());
         return SendResult::NotExecuted { status };
     }
-    if outcome.id.as_deref() != call.fields.id.as_deref() {
-        // The response belongs to another request; dropping `sender` closes the connection.
-        count_send(gateway, call, attempts, chosen, "foreign");
-        log_send_failed(gateway, call, chosen, "answer of another request", "");
-        return SendResult::Unknown { cause: "the worker's answer was not for this request" };
-    }
     if status.is_success() && (!outcome.has_receipt || outcome.encoded) {
         count_send(gateway, call, attempts, chosen, "no_receipt");
         log_send_failed(gateway, call, chosen, "answer without receipt", "");
@@ -306,12 +309,6 @@
     log_send_failed(gateway, call, chosen, "unreachable", detail);
 }
 
-/// Returns whether a response is surely of the worker that the request was sent to: after an address is given
-/// to another worker, that one responds with 421.
-fn is_from_worker(call: &Call, outcome: &ResponseFields, status: StatusCode) -> bool {
-    outcome.id.as_deref() == call.fields.id.as_deref() && status != StatusCode::MISDIRECTED_REQUEST
-}
-
 /// Records that a worker has said that it leaves, and tells the other instances of the failure domain.
 fn record_leaving(gateway: &Gateway, id: &str) {
     let mut directory = gateway.directory.borrow_mut();
@@ -325,6 +322,7 @@
     gateway.state_changed.notify_waiters();
 }
 
+/// Records what a worker states in its response to this request.
 fn record_response(
     gateway: &Gateway,
     call: &Call,
@@ -343,11 +341,8 @@
         let label = [call.service.as_str()];
         gateway.metrics.limited_responses_total.with_label_values(&label).inc();
     }
-    // A response to another request tells what was true at the time of that one.
-    if outcome.id.as_deref() == call.fields.id.as_deref() {
-        limits::driver::on_response(gateway, worker, outcome.limit, now_ms - first_byte_ms);
-    }
-    if status == StatusCode::SERVICE_UNAVAILABLE && is_from_worker(call, outcome, status) {
+    limits::driver::on_response(gateway, worker, outcome.limit, now_ms - first_byte_ms);
+    if status == StatusCode::SERVICE_UNAVAILABLE {
         let until_ms = outcome.retry_after_ms.map_or(0, |wait_ms| now_ms + wait_ms);
         worker.closed_until_ms = worker.closed_until_ms.max(until_ms);
     }
--- a/lovageridge/tests/gateway/faults.rs
+++ b/lovageridge/tests/gateway/faults.rs
@@ -18,8 +18,16 @@
     deployment.workers.iter().map(|worker| worker.runs().len()).sum()
 }
 
+/// Responses that state of another request that it was not executed.
+const OTHERS_503: Behavior = Behavior::RejectionOfAnother("503 Service Unavailable");
+const OTHERS_421: Behavior = Behavior::RejectionOfAnother("421 Misdirected Request");
+
+/// Guards against requests that run twice, or are reported as not run, since a response that says nothing of
+/// them is taken for a rejection.
 #[test_case(Behavior::Reset, 502; "connection reset after the run")]
 #[test_case(Behavior::WrongId, 502; "answer of another request")]
+#[test_case(OTHERS_503, 502; "rejection of another request")]
+#[test_case(OTHERS_421, 502; "rejection of another request as misdirected")]
 #[test_case(Behavior::MissingReceipt, 502; "answer without receipt")]
 #[test_case(Behavior::ServerError, 500; "failure of the worker")]
 fn a_non_idempotent_request_runs_once_and_is_not_reported_as_not_run(
@@ -93,6 +101,40 @@
     deployment.close();
 }
 
+/// Guards against workers that are not used since a response to another request named a load, a missing model,
+/// a time without requests or an end of the worker.
+#[test_case(OTHERS_503; "rejection")]
+#[test_case(OTHERS_421; "rejection as misdirected")]
+#[test_case(Behavior::WrongId; "success")]
+fn a_response_to_another_request_says_nothing_of_its_worker(behavior: Behavior) {
+    let deployment = deployment(vec![("e0", engine_worker(&["m0"])), ("p0", plain_worker(5))], 1);
+    let to = deployment.instances[0].callers_addr;
+    let headers = [
+        ("X-Lovageridge-Server-Load", "8,80,8"),
+        ("Server-Limit", "0"),
+        ("Server-Leaving", "1"),
+        ("Retry-After", "30"),
+    ];
+    for worker in &deployment.workers {
+        worker.set_behavior(behavior);
+        headers.iter().for_each(|(name, value)| worker.set_header(name, Some(value)));
+    }
+    let stream = |id: &str| CallerRequest::post("/stream/once/1", id).for_model("m0").send(to);
+    let booking = |id: &str| CallerRequest::post("/book/1", id).send(to);
+    assert_eq!(stream("id1").expect("a response").status_code, 502);
+    assert_eq!(booking("id2").expect("a response").status_code, 502);
+    for worker in &deployment.workers {
+        worker.set_behavior(Behavior::Normal);
+        headers.iter().for_each(|(name, _)| worker.set_header(name, None));
+    }
+    let started = Instant::now();
+    let reply = stream("id3").expect("a response");
+    assert_eq!((reply.complete, reply.body), (true, events(10)));
+    assert_eq!(booking("id4").expect("a response").status_code, 200);
+    assert!(started.elapsed() < Duration::from_secs(1), "{:?}", started.elapsed());
+    deployment.close();
+}
+
 #[test_case(0; "before its first event")]
 #[test_case(4; "in the middle of an event")]
 fn a_resumable_stream_is_resumed_elsewhere_complete_and_in_order(after: u64) {
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -46,6 +46,8 @@
     DuplicateResponse,
     /// Responds with the id of another request.
     WrongId,
+    /// Runs the request, and sends the rejection of another one, with this status, before the response.
+    RejectionOfAnother(&'static str),
     /// Responds without its receipt.
     MissingReceipt,
     /// Responds with neither a length nor chunks; the connection ends the body.
@@ -340,6 +342,10 @@
             return self.respond_refused(stream, request, "503 Service Unavailable");
         }
         let at = self.record_run(request);
+        if let Behavior::RejectionOfAnother(status) = behavior {
+            // Errors mean that the caller has left.
+            let _ = stream.write_all(self.rejection("another", status).as_bytes());
+        }
         let keep_open = if request.path.starts_with("/stream/") {
             self.respond_stream(stream, request, behavior)
         } else {
@@ -524,13 +530,17 @@
 
     fn respond_refused(&self, stream: &mut TcpStream, request: &Request, status: &str) -> bool {
         let id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
-        let text = format!(
+        stream.write_all(self.rejection(id, status).as_bytes()).is_ok()
+    }
+
+    /// Returns the response to the request `id` that states that it was not executed.
+    fn rejection(&self, id: &str, status: &str) -> String {
+        format!(
             "HTTP/1.1 {status}\r\nX-Lovageridge-Attempt-Id: {id}\r\nX-Lovageridge-Not-Executed: 1\r\n\
              X-Lovageridge-Instance-Id: {}\r\n{}Content-Length: 0\r\n\r\n",
             self.id,
             self.further_headers()
-        );
-        stream.write_all(text.as_bytes()).is_ok()
+        )
     }
 
     fn respond_report(&self, stream: &mut TcpStream, resident: &[String]) -> bool {
