Answer 502 where a worker does not state that a request has not run

What callers saw: a booking answered 503, 429 or 408, which states that it has not run, could have run at its worker, so that the caller's retry books twice.

Cause: forward_response() passed a worker's failure on with its status. Only "not executed" (or 421) states that a request has not run; the same statuses without it do not, but to callers they promise it.

Why it works: responses that state "not executed" never get there, so whatever does with such a status is unclear: retryable requests go to another worker as after a 500, others are answered 502, which promises nothing.

--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -31,6 +31,7 @@
 use crate::gateway::message_fields::RequestFields;
 use crate::gateway::message_fields::ResponseFields;
 use crate::gateway::relay::Relay;
+use crate::gateway::response;
 use crate::gateway::response::Refusal;
 use crate::gateway::response::ResponseBody;
 use crate::gateway::waits::Target;
@@ -380,9 +381,15 @@
     incoming: IncomingResponse,
 ) -> Result<Option<Response<ResponseBody>>, Refusal> {
     let status = incoming.response.status();
-    if status.is_server_error() && may_retry(gateway, call, attempts) {
+    // The worker did not state that the request has not run, as this status would to the caller.
+    let is_misleading = response::guarantees_not_run(status);
+    if (status.is_server_error() || is_misleading) && may_retry(gateway, call, attempts) {
         return Ok(None);
     }
+    if is_misleading {
+        let cause = "the worker failed without stating whether the request has run";
+        return Err(Refusal::failed(StatusCode::BAD_GATEWAY, cause));
+    }
     if call.route.kind.is_stream() && status.is_success() {
         return Ok(Some(stream_response(gateway, call, attempts, incoming)));
     }
--- a/lovageridge/src/gateway/response.rs
+++ b/lovageridge/src/gateway/response.rs
@@ -121,10 +121,22 @@
     }
 }
 
+/// Returns whether `status` guarantees callers that the request has not run and never will; given by the
+/// interface.
+pub fn guarantees_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// A response of the gateway itself instead of an upstream's.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Refusal {
-    /// HTTP status; 408, 421, 429 and 503 guarantee that the request has not run and never will.
+    /// HTTP status, see [`guarantees_not_run`].
     pub status: StatusCode,
     /// Cause, for the log, the metrics and the response body.
     pub cause: &'static str,
--- a/lovageridge/tests/gateway/faults.rs
+++ b/lovageridge/tests/gateway/faults.rs
@@ -30,6 +30,9 @@
 #[test_case(OTHERS_421, 502; "rejection of another request as misdirected")]
 #[test_case(Behavior::MissingReceipt, 502; "answer without receipt")]
 #[test_case(Behavior::ServerError, 500; "failure of the worker")]
+#[test_case(Behavior::FailureAfterRun("503 Service Unavailable"), 502; "overload after the run")]
+#[test_case(Behavior::FailureAfterRun("429 Too Many Requests"), 502; "too many requests after the run")]
+#[test_case(Behavior::FailureAfterRun("408 Request Timeout"), 502; "timeout after the run")]
 fn a_non_idempotent_request_runs_once_and_is_not_reported_as_not_run(
     manner: Behavior,
     expected: u16,
@@ -47,6 +50,8 @@
 #[test_case(Behavior::Unresponsive; "no answer")]
 #[test_case(Behavior::WrongId; "answer of another request")]
 #[test_case(Behavior::Overloaded; "no capacity")]
+#[test_case(Behavior::FailureAfterRun("503 Service Unavailable"); "overload after the run")]
+#[test_case(Behavior::FailureAfterRun("429 Too Many Requests"); "too many requests after the run")]
 fn an_idempotent_request_is_served_by_another_worker(manner: Behavior) {
     // The failing worker is in the instance's domain and is therefore tried first.
     let elsewhere = WorkerSpec { domain: "b".to_owned(), ..plain_worker(5) };
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -40,6 +40,8 @@
     InterruptAfter(u64),
     /// Responds to plain calls with 500.
     ServerError,
+    /// Runs a plain call and responds with this status, without stating whether it ran.
+    FailureAfterRun(&'static str),
     /// Responds with 503 without running the request.
     Overloaded,
     /// Sends the response to a plain call twice.
@@ -416,8 +418,11 @@
         if let Behavior::Endless(place) = behavior {
             return self.respond_endless(stream, request, place);
         }
-        let failing = behavior == Behavior::ServerError;
-        let status = if failing { "500 Internal Server Error" } else { "200 OK" };
+        let status = match behavior {
+            Behavior::ServerError => "500 Internal Server Error",
+            Behavior::FailureAfterRun(status) => status,
+            _ => "200 OK",
+        };
         let body = format!("{} {} by {}", request.method, request.path, self.id);
         let start = self.response_head(request, status, behavior);
         if behavior == Behavior::Unframed {
