Find the ends of events in one pass, and limit what comes between them

What callers saw: bookings at an instance that relayed a stream of blank lines without end had no answer at all, and the instance missed its readiness checks, for seconds.

Cause: the end of the first event was sought by two searches over the whole buffer, which the one without a match read to its end for every event, and both again with every read. Blank lines and comments counted as events, so the limit on the size of events did not hold for them. Carriage returns alone ended no line for the splitter, but did for the limit, so that such a stream was buffered without a limit.

Test: four cases of relay::tests failed before and three did not end; seven new cases of a_stream_without_end_is_cut_or_resumed and two of four of lines_without_end_do_not_delay_other_requests failed before.

Why it works: each byte is examined once, however the stream is cut, by one scanner that splitter and limit share. The limit counts bytes since the last event, so a stream that holds none is cut or moves to another worker after 64 KiB.

--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -40,36 +40,51 @@
 const STALL_TIMEOUT_MIN_MS: u64 = 1200;
 /// Multiple of the route's gap objective that is used instead if it is longer.
 const STALL_TIMEOUT_GAPS: u64 = 5;
-/// Largest event, in bytes; many incomplete ones are buffered at the same time.
+/// Most bytes without the end of an event, comments and blank lines included; many incomplete events are
+/// buffered at the same time.
 const EVENT_MAX_BYTES: usize = 64 << 10;
 
 /// Splits a stream into complete events and records the id of the last one forwarded.
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
+    // Beginning of a block of lines that has not ended.
     buffer: BytesMut,
+    boundary: EventBoundary,
     last_id: Option<u64>,
+    has_forwarded: bool,
 }
 
 impl EventSplitter {
-    /// Appends bytes and returns the complete events in the buffer, without those forwarded before.
+    /// Appends bytes and returns the complete events, without those forwarded before.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
-        self.buffer.extend_from_slice(bytes);
         let mut out = BytesMut::new();
-        while let Some(end) = event_end(&self.buffer) {
-            let event = self.buffer.split_to(end);
-            let id = event_id(&event);
-            let delivered = id.is_some_and(|id| self.last_id.is_some_and(|last| id <= last));
-            if !delivered {
-                self.last_id = id.or(self.last_id);
-                out.extend_from_slice(&event);
-            }
+        let mut rest = bytes;
+        while let Some(end) = self.boundary.next_end(rest) {
+            let (block, following) = rest.split_at(end.offset);
+            self.buffer.extend_from_slice(block);
+            self.end_block(end.is_event, &mut out);
+            rest = following;
         }
+        self.buffer.extend_from_slice(rest);
         out.freeze()
     }
 
+    /// Moves the block in the buffer to `out`, unless it is an event that was forwarded before.
+    fn end_block(&mut self, is_event: bool, out: &mut BytesMut) {
+        let block = self.buffer.split();
+        let id = event_id(&block);
+        let forwarded = id.is_some_and(|id| self.last_id.is_some_and(|last| id <= last));
+        if !forwarded {
+            self.last_id = id.or(self.last_id);
+            self.has_forwarded |= is_event;
+            out.extend_from_slice(&block);
+        }
+    }
+
     /// Discards an incomplete event.
     pub fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.boundary = EventBoundary::default();
     }
 
     /// Returns the id of the last event forwarded; `None` if no event had a numeric id.
@@ -77,25 +92,26 @@
         self.last_id
     }
 
-    /// Returns the rest of the buffer at the end of a complete stream.
-    pub fn finish(&mut self) -> Bytes {
-        self.buffer.split().freeze()
+    /// Returns whether an event was forwarded; comments and blank lines do not count.
+    pub fn has_forwarded(&self) -> bool {
+        self.has_forwarded
     }
-}
 
-/// Returns the offset after the first blank line.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let unix = bytes.windows(2).position(|pair| pair == b"\n\n").map(|at| at + 2);
-    let crlf = bytes.windows(4).position(|four| four == b"\r\n\r\n").map(|at| at + 4);
-    match (unix, crlf) {
-        (Some(a), Some(b)) => Some(a.min(b)),
-        (a, b) => a.or(b),
+    /// Returns the rest of the buffer at the end of a complete stream.
+    pub fn finish(&mut self) -> Bytes {
+        let mut out = BytesMut::new();
+        if let Some(is_event) = self.boundary.finish() {
+            self.end_block(is_event, &mut out);
+        }
+        out.extend_from_slice(&self.buffer.split());
+        out.freeze()
     }
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
-    let id = text.lines().filter_map(|line| line.strip_prefix("id:")).next_back()?;
+    let lines = text.split(['\n', '\r']);
+    let id = lines.filter_map(|line| line.strip_prefix("id:")).next_back()?;
     id.trim().parse().ok()
 }
 
@@ -131,7 +147,6 @@
     source: Option<Source>,
     splitter: EventSplitter,
     resumable: bool,
-    delivered: bool,
     delivery: DeliveryTimes,
 }
 
@@ -178,7 +193,6 @@
             source: Some(Source::new(incoming, gateway.now_ms())),
             splitter: EventSplitter::default(),
             resumable: call.route.kind == RouteKind::Stream { resumable: true },
-            delivered: false,
             delivery: DeliveryTimes::default(),
         }
     }
@@ -189,8 +203,14 @@
             let Some(source) = &mut self.source else { return (None, self) };
             let read = source.read(&self.gateway, &self.call, self.resumable).await;
             match read {
-                SourceRead::Data(_) if source.upstream.boundary.event_bytes() > EVENT_MAX_BYTES => {
-                    let cause = "an event is too large";
+                SourceRead::Data(_)
+                    if source.upstream.boundary.bytes_since_event() > EVENT_MAX_BYTES =>
+                {
+                    let cause = if source.upstream.boundary.is_inside_event() {
+                        "an event is too large"
+                    } else {
+                        "too many bytes without an event"
+                    };
                     if !self.fail_over(cause, "").await {
                         return self.abort(cause);
                     }
@@ -240,7 +260,6 @@
     }
 
     fn record_delivery(&mut self) {
-        self.delivered = true;
         self.delivery.record(self.gateway.now_ms());
     }
 
@@ -309,7 +328,7 @@
         let last_event_id = match self.splitter.last_id() {
             Some(id) => Some(id.to_string()),
             // Without an event id, another worker cannot know where to resume.
-            None if self.delivered => return false,
+            None if self.splitter.has_forwarded() => return false,
             None => None,
         };
         let resumed = attempt::resume(
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -73,6 +73,8 @@
     Body,
     /// The same, with neither a length nor chunks.
     UnframedBody,
+    /// These lines in the body, again and again.
+    Lines(&'static str),
 }
 
 /// A request that the worker ran.
@@ -504,13 +506,18 @@
         place: Endless,
     ) -> Option<bool> {
         let start = self.response_head(request, "200 OK", Behavior::Normal);
-        let filler = "x".repeat(ENDLESS_WRITE_BYTES);
+        let filler = match place {
+            Endless::Lines(lines) => lines.repeat(ENDLESS_WRITE_BYTES / lines.len()),
+            _ => "x".repeat(ENDLESS_WRITE_BYTES),
+        };
         let chunk = format!("{:x}\r\n{filler}\r\n", filler.len());
         let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(200);
         let (head, more) = match place {
             Endless::Header => (format!("{start}X-Long: "), filler),
             Endless::InterimResponses => (interim.clone(), interim),
-            Endless::Body => (format!("{start}Transfer-Encoding: chunked\r\n\r\n"), chunk),
+            Endless::Body | Endless::Lines(_) => {
+                (format!("{start}Transfer-Encoding: chunked\r\n\r\n"), chunk)
+            }
             Endless::UnframedBody => (format!("{start}\r\n"), filler),
         };
         stream.write_all(head.as_bytes()).ok()?;
