Join the parts of a body as they arrive, and limit their number

What callers saw: 504 after their whole time limit where a worker sent a body without end in chunks of one byte, and other requests delayed meanwhile; an instance would be killed for its memory.

Cause: the bodies of requests and responses were kept as the parts in which they arrived, each with its own entry, until they were complete. The limits counted bytes only.

Why it works: parts are joined in one buffer, so a body takes its length whatever its cut; a response of more than 65,536 parts is a failure of its worker, as one that is too long.

--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -6,6 +6,7 @@
 //! second thread writes the log.
 
 pub mod attempt;
+pub mod body;
 pub mod budget;
 pub mod caller_timeouts;
 pub mod catalog;
--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout;
 
 use crate::gateway::Gateway;
+use crate::gateway::body::BodyBuffer;
 use crate::gateway::catalog::Catalog;
 use crate::gateway::catalog::Route;
 use crate::gateway::catalog::RouteKind;
@@ -61,6 +62,8 @@
 const CONNECT_FAILURES_MAX: u32 = 5;
 /// Largest non-streaming response, in bytes; it is read to its end before it is forwarded.
 const BUFFERED_RESPONSE_MAX_BYTES: usize = 2 << 20;
+/// Largest number of parts in which such a response may arrive; each of them costs time, however short it is.
+const BUFFERED_RESPONSE_MAX_PARTS: usize = 64 << 10;
 /// Shortest time after which callers abandon a stream without events, in ms.
 const CALLER_TIMEOUT_MIN_MS: u64 = 2000;
 /// Multiple of the latency objective for which callers wait for the first event, if that is longer;
@@ -437,12 +440,21 @@
     is_framed: bool,
     worker_id: &str,
 ) -> Result<Bytes, String> {
-    let body = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES).collect().await;
-    let body = body.map_err(|error| error.to_string())?.to_bytes();
+    let mut body = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES);
+    let mut buffer = BodyBuffer::default();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        if let Ok(part) = frame.into_data() {
+            buffer.push(part);
+        }
+        if buffer.parts() > BUFFERED_RESPONSE_MAX_PARTS {
+            return Err("the body has too many parts".to_owned());
+        }
+    }
     if !is_framed && crashes::driver::has_crashed(gateway, worker_id).await {
         return Err("the worker crashed in a body without length".to_owned());
     }
-    Ok(body)
+    Ok(buffer.finish())
 }
 
 /// Returns a connection to the pool, unless the worker closes it.
--- a/lovageridge/src/gateway/serve.rs
+++ b/lovageridge/src/gateway/serve.rs
@@ -26,6 +26,7 @@
 use crate::gateway::attempt;
 use crate::gateway::attempt::Call;
 use crate::gateway::attempt::RETRY_AFTER_STOPPING_MS;
+use crate::gateway::body::BodyBuffer;
 use crate::gateway::caller_timeouts::CallerStream;
 use crate::gateway::caller_timeouts::CallerTimeouts;
 use crate::gateway::caller_timeouts::ExpiredTimeout;
@@ -224,13 +225,16 @@
 async fn read_body(body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
     let mut body = Limited::new(body, limits.max_body_bytes);
     let frame_timeout = Duration::from_millis(limits.idle_timeout_ms);
-    let mut chunks: Vec<Bytes> = Vec::new();
+    let mut buffer = BodyBuffer::default();
     loop {
         match timeout(frame_timeout, body.frame()).await {
-            Ok(None) if chunks.len() > 1 => return Ok(chunks.concat().into()),
-            Ok(None) => return Ok(chunks.pop().unwrap_or_default()),
-            // Trailers are not forwarded.
-            Ok(Some(Ok(frame))) => chunks.extend(frame.into_data()),
+            Ok(None) => return Ok(buffer.finish()),
+            Ok(Some(Ok(frame))) => {
+                // Trailers are not forwarded.
+                if let Ok(part) = frame.into_data() {
+                    buffer.push(part);
+                }
+            }
             Ok(Some(Err(error))) if error.is::<LengthLimitError>() => {
                 let status = StatusCode::PAYLOAD_TOO_LARGE;
                 return Err(Refusal::failed(status, "the body is too large"));
--- a/lovageridge/tests/gateway/framing.rs
+++ b/lovageridge/tests/gateway/framing.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use standins::platform::caller::Caller;
 use standins::platform::caller::CallerRequest;
 use standins::platform::deployment::Deployment;
 use standins::platform::deployment::engine_worker;
@@ -18,6 +19,9 @@
 /// Largest memory of an instance in known deployments, in KiB.
 const MEMORY_MAX_KIB: u64 = 160 * 1024;
 
+/// Length of the bodies of requests in chunks of one byte; the limit of the configuration is 65,536.
+const BODY_BYTES: usize = 60_000;
+
 /// A model worker with this behavior in the instance's domain, which is tried first, and a sound one.
 fn engines(behavior: Behavior) -> Deployment {
     let elsewhere = WorkerSpec { domain: "b".to_owned(), ..engine_worker(&["m0"]) };
@@ -137,6 +141,7 @@
 #[test_case(Endless::Header; "header")]
 #[test_case(Endless::InterimResponses; "interim responses")]
 #[test_case(Endless::Body; "body")]
+#[test_case(Endless::ByteChunks; "body in chunks of one byte")]
 #[test_case(Endless::UnframedBody; "body without length and chunks")]
 fn an_idempotent_request_with_a_response_without_end_is_served_elsewhere(place: Endless) {
     let deployment = services(Behavior::Endless(place));
@@ -154,6 +159,7 @@
 #[test_case(Endless::Header; "header")]
 #[test_case(Endless::InterimResponses; "interim responses")]
 #[test_case(Endless::Body; "body")]
+#[test_case(Endless::ByteChunks; "body in chunks of one byte")]
 #[test_case(Endless::UnframedBody; "body without length and chunks")]
 fn a_non_idempotent_request_with_a_response_without_end_fails_at_once(place: Endless) {
     let deployment = services(Behavior::Endless(place));
@@ -226,20 +232,50 @@
 }
 
 /// Guards against many responses without end at once that exceed the memory of an instance.
-#[test]
-fn many_responses_without_end_stay_within_the_memory() {
-    let deployment = services(Behavior::Endless(Endless::Body));
+#[test_case(Endless::Body, 60; "in long chunks")]
+#[test_case(Endless::ByteChunks, 8; "in chunks of one byte")]
+fn many_responses_without_end_stay_within_the_memory(place: Endless, count: usize) {
+    let deployment = services(Behavior::Endless(place));
     let to = deployment.instances[0].callers_addr;
     std::thread::scope(|scope| {
-        for number in 0..60 {
-            scope.spawn(move || {
-                let ask = CallerRequest::post("/book/1", &format!("id{number}"));
-                let status_code = ask.send(to).expect("a response").status_code;
-                // The sound worker serves some of them.
-                assert!([200, 502].contains(&status_code), "{status_code}");
-            });
+        let ask = move |number: usize| {
+            let ask = CallerRequest::post("/book/1", &format!("id{number}"));
+            let status_code = ask.send(to).expect("a response").status_code;
+            // The sound worker serves some of them.
+            assert!([200, 502].contains(&status_code), "{status_code}");
+        };
+        let callers: Vec<_> = (0..count).map(|number| scope.spawn(move || ask(number))).collect();
+        while callers.iter().any(|caller| !caller.is_finished()) {
+            assert_memory_bounded(&deployment);
+            std::thread::sleep(Duration::from_millis(20));
         }
-        for _ in 0..20 {
+    });
+    deployment.close();
+}
+
+/// Guards against bodies of requests in chunks of one byte that take far more memory than their length.
+#[test]
+fn many_requests_in_chunks_of_one_byte_stay_within_the_memory() {
+    let deployment = services(Behavior::Normal);
+    let to = deployment.instances[0].callers_addr;
+    std::thread::scope(|scope| {
+        let ask = |number: usize| {
+            move || {
+                let head = format!(
+                    "POST /book/1 HTTP/1.1\r\nHost: site.example\r\n\
+                     X-Lovageridge-Attempt-Id: id{number}\r\nTransfer-Encoding: chunked\r\n\r\n"
+                );
+                let mut caller = Caller::connect(to).expect("a connection");
+                caller.write(head.as_bytes()).expect("sent");
+                caller.write("1\r\nx\r\n".repeat(BODY_BYTES).as_bytes()).expect("sent");
+                // All bodies are held at the same time.
+                std::thread::sleep(Duration::from_millis(1000));
+                caller.write(b"0\r\n\r\n").expect("sent");
+                assert_eq!(caller.read_response().expect("a response").status_code, 200);
+            }
+        };
+        let callers: Vec<_> = (0..100).map(|number| scope.spawn(ask(number))).collect();
+        while callers.iter().any(|caller| !caller.is_finished()) {
             assert_memory_bounded(&deployment);
             std::thread::sleep(Duration::from_millis(20));
         }
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -73,6 +73,8 @@
     Body,
     /// The same, with neither a length nor chunks.
     UnframedBody,
+    /// In the body, in chunks of one byte.
+    ByteChunks,
     /// These lines in the body, again and again.
     Lines(&'static str),
 }
@@ -512,12 +514,13 @@
         };
         let chunk = format!("{:x}\r\n{filler}\r\n", filler.len());
         let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(200);
+        let byte_chunks = "1\r\nx\r\n".repeat(ENDLESS_WRITE_BYTES);
+        let chunked = format!("{start}Transfer-Encoding: chunked\r\n\r\n");
         let (head, more) = match place {
             Endless::Header => (format!("{start}X-Long: "), filler),
             Endless::InterimResponses => (interim.clone(), interim),
-            Endless::Body | Endless::Lines(_) => {
-                (format!("{start}Transfer-Encoding: chunked\r\n\r\n"), chunk)
-            }
+            Endless::Body | Endless::Lines(_) => (chunked, chunk),
+            Endless::ByteChunks => (chunked, byte_chunks),
             Endless::UnframedBody => (format!("{start}\r\n"), filler),
         };
         stream.write_all(head.as_bytes()).ok()?;
