Limit the lines between two events of an engine's stream

What callers saw: a completion through `serve` that lasted until its deadline while its engine sent blank lines or comments, and a thread of the instance busy all the while.

Cause: next_event() skips lines that hold no event, however many come.

Why it works: after 1 MiB without an event the stream counts as interrupted, as after a line that is no event.

--- a/lovageridge/src/upstream/stream.rs
+++ b/lovageridge/src/upstream/stream.rs
@@ -15,7 +15,10 @@
 use crate::upstream::engine::CONNECT_TIMEOUT;
 use crate::upstream::engine::is_connect_failure;
 
-/// Maximum length of a line in a stream, in bytes.
+#[cfg(test)]
+mod tests;
+
+/// Maximum length of a line in a stream, and of the lines between two events, in bytes.
 const MAX_LINE_BYTES: u64 = 1024 * 1024;
 /// Header that carries the reason of a refusal.
 pub const REASON_HEADER: &str = "x-refused";
@@ -150,13 +153,18 @@
     /// Returns the next event; the stream ends with the event that has a `finish_reason`.
     ///
     /// # Errors
-    /// Returns [`Error::Interrupted`] when the stream ends or stalls before its last event.
+    /// Returns [`Error::Interrupted`] when the stream ends or stalls before its last event, or holds no event
+    /// in too many bytes.
     pub fn next_event(&mut self) -> Result<TokenEvent, Error> {
-        loop {
+        let mut skipped_bytes = 0;
+        while skipped_bytes <= MAX_LINE_BYTES {
             let line = self.read_line().map_err(|e| Error::Interrupted(e.to_string()))?;
-            let Some(data) = line.trim_end().strip_prefix("data: ") else { continue };
-            return serde_json::from_str(data).map_err(|e| Error::Interrupted(e.to_string()));
+            if let Some(data) = line.trim_end().strip_prefix("data: ") {
+                return serde_json::from_str(data).map_err(|e| Error::Interrupted(e.to_string()));
+            }
+            skipped_bytes += line.len() as u64;
         }
+        Err(Error::Interrupted("too many bytes without an event".to_owned()))
     }
 
     fn read_line(&mut self) -> io::Result<String> {
