Read all announced addresses, again until a read was complete

What callers saw: nothing at once; workers that state a limit got up to five times what they had named, since several instances granted their sends.

Cause: instances find each other by one read of the announced addresses at their start, which took the first page only, 500 names, of which those of replaced instances are never deleted. A read that failed was not repeated if any instance was heard. Who does not know another one sends it nothing.

Why it works: all pages are read, and the read is repeated every 3 s until one was complete after the own name was published, so of two instances that start at the same time one finds the other.

--- a/lovageridge/src/gateway/peers/driver.rs
+++ b/lovageridge/src/gateway/peers/driver.rs
@@ -37,6 +37,7 @@
 use crate::gateway::sync::document::StoredConfig;
 use crate::gateway::waits::Target;
 use crate::platform::store;
+use crate::platform::store::KeyedRecord;
 use crate::telemetry::events;
 
 /// Time between heartbeats, in ms.
@@ -44,8 +45,8 @@
 /// Number of peers that each heartbeat is sent to; with these the identity of the lead reaches every
 /// instance within a few heartbeats.
 const HEARTBEAT_PEERS: usize = 3;
-/// Time between reads of the announced addresses while no peer is live, in ms.
-const NO_PEERS_READ_MS: u64 = 3000;
+/// Time between reads of the announced addresses while no peer is live or some were not read, in ms.
+const ANNOUNCEMENTS_READ_MS: u64 = 3000;
 /// Age up to which a record may be missing from the copy that the store is restored from, in ms.
 const RESTORE_LOSS_MAX_MS: u64 = 60_000;
 /// Timeout of a call to the store.
@@ -312,21 +313,26 @@
     let mut client = HttpClient::new(gateway.settings().store_addr);
     let mut announced: Option<Announced> = None;
     let mut last_read_ms: Option<u64> = None;
+    // Whether all addresses were read after the own one was announced: of two instances that start at the same
+    // time, one then finds the other.
+    let mut has_read_all = false;
     loop {
         let now_ms = gateway.now_ms();
         client.set_addr(gateway.settings().store_addr);
         let has_no_live_peers = gateway.peers.borrow().live(now_ms).next().is_none();
+        let is_read_needed = has_no_live_peers || !has_read_all;
         let read_due = last_read_ms
-            .is_none_or(|read_ms| has_no_live_peers && now_ms >= read_ms + NO_PEERS_READ_MS);
+            .is_none_or(|read_ms| is_read_needed && now_ms >= read_ms + ANNOUNCEMENTS_READ_MS);
         let era = gateway.store.borrow().progress.era;
         if announced.is_none_or(|announced| announced.may_be_lost(era, now_ms))
             && announce(&gateway, &mut client).await
         {
             announced = Some(Announced { era, at_ms: now_ms });
+            has_read_all = false;
         }
         if read_due {
             last_read_ms = Some(now_ms);
-            read_announcements(&gateway, &mut client).await;
+            has_read_all = read_announcements(&gateway, &mut client).await && announced.is_some();
             let settings = gateway.settings();
             let others = settings.seeds.iter().filter(|addr| **addr != settings.peers_addr);
             others.for_each(|addr| {
@@ -389,15 +395,27 @@
     }
 }
 
-async fn read_announcements(gateway: &Gateway, client: &mut HttpClient) {
-    let path = store::newest_path(store::PEERS_TOPIC, None);
-    let call = client.call(Method::GET, &path, HeaderMap::new(), Bytes::new(), STORE_TIMEOUT);
-    let page = success_body(gateway, call.await)
-        .and_then(|body| store::parse_newest(&body).map_err(|error| error.to_string()));
-    record_store_call(gateway, "peers", &page);
-    let Ok(page) = page else { return };
-    let mut addrs = Vec::new();
-    for record in page.records {
+/// Reads the announced addresses and sends a heartbeat to each; returns whether all were read.
+async fn read_announcements(gateway: &Gateway, client: &mut HttpClient) -> bool {
+    let mut after: Option<String> = None;
+    loop {
+        let path = store::newest_path(store::PEERS_TOPIC, after.as_deref());
+        let call = client.call(Method::GET, &path, HeaderMap::new(), Bytes::new(), STORE_TIMEOUT);
+        let page = success_body(gateway, call.await)
+            .and_then(|body| store::parse_newest(&body).map_err(|error| error.to_string()));
+        record_store_call(gateway, "peers", &page);
+        let Ok(page) = page else { return false };
+        after = page.records.last().map(|record| record.key.clone());
+        on_announcements(gateway, page.records);
+        if !page.has_more || after.is_none() {
+            return true;
+        }
+    }
+}
+
+/// Applies announcements that were read from the store.
+fn on_announcements(gateway: &Gateway, records: Vec<KeyedRecord>) {
+    for record in records {
         let announcement: Announcement = match postcard::from_bytes(&record.value) {
             Ok(announcement) => announcement,
             Err(error) => {
@@ -410,19 +428,12 @@
             }
         };
         if record.key != gateway.settings().instance_id {
-            let mut peers = gateway.peers.borrow_mut();
-            peers.on_announced(
-                &record.key,
-                announcement.addr,
-                announcement.incarnation,
-                gateway.now_ms(),
-            );
-            addrs.push(announcement.addr);
+            let Announcement { addr, incarnation } = announcement;
+            let now_ms = gateway.now_ms();
+            gateway.peers.borrow_mut().on_announced(&record.key, addr, incarnation, now_ms);
+            send(gateway, addr, Payload::Heartbeat { reply_requested: true });
         }
     }
-    for addr in addrs {
-        send(gateway, addr, Payload::Heartbeat { reply_requested: true });
-    }
 }
 
 /// Sends a heartbeat to a few live peers, to any one known peer, and, when it is due, to the instance
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -44,7 +44,7 @@
 struct Topic {
     first_offset: u64,
     records: VecDeque<Vec<u8>>,
-    // Key, value and offset of the newest record of each key; deleted keys have no entry.
+    // Key, value and offset of the newest record of each key, sorted by key; deleted keys have no entry.
     newest: Vec<(String, Vec<u8>, u64)>,
 }
 
@@ -60,7 +60,8 @@
             let value = record[len + 1..].to_vec();
             self.newest.retain(|(known, _, _)| *known != key);
             if !value.is_empty() {
-                self.newest.push((key, value, self.end_offset()));
+                let at = self.newest.partition_point(|(known, _, _)| *known < key);
+                self.newest.insert(at, (key, value, self.end_offset()));
             }
         }
         self.records.push_back(record);
@@ -80,6 +81,10 @@
     calls: u64,
     read_bytes: u64,
     bytes_per_s: Option<u64>,
+    // Most keys in a response; `None` if there is no limit.
+    page_keys: Option<usize>,
+    // Number of the next reads of announcements that are refused.
+    refused_announcements: u32,
 }
 
 struct Shared {
@@ -106,6 +111,8 @@
             calls: 0,
             read_bytes: 0,
             bytes_per_s: None,
+            page_keys: None,
+            refused_announcements: 0,
         };
         let shared = Arc::new(Shared { state: Mutex::new(state), changed: Condvar::new() });
         let handler_state = Arc::clone(&shared);
@@ -126,6 +133,16 @@
         self.shared.changed.notify_all();
     }
 
+    /// Limits the number of keys in a response with the newest records.
+    pub fn set_page_keys(&self, page_keys: usize) {
+        self.shared.lock().page_keys = Some(page_keys);
+    }
+
+    /// Refuses the next reads of the announcements of instances.
+    pub fn refuse_announcements(&self, reads: u32) {
+        self.shared.lock().refused_announcements = reads;
+    }
+
     /// Returns the number of calls received so far.
     pub fn calls(&self) -> u64 {
         self.shared.lock().calls
@@ -230,8 +247,12 @@
                 self.write_json(stream, status_code, &text)
             }
             "/lovageridge/log-read" => self.read(stream, request, name),
+            "/lovageridge/log-newest" if self.refuses_announcement_read(name) => {
+                self.write_json(stream, 503, &json!({}))
+            }
             "/lovageridge/log-newest" => {
-                self.send_read(stream, self.newest(name).to_string().as_bytes())
+                let page = self.newest(name, request.query_param("after"));
+                self.send_read(stream, page.to_string().as_bytes())
             }
             _ => self.write_json(stream, 404, &json!({})),
         }
@@ -327,12 +348,24 @@
         format!("HTTP/1.1 {status}\r\nContent-Length: {body_bytes}\r\nStore-Era: {era}\r\n\r\n")
     }
 
-    fn newest(&self, name: &str) -> serde_json::Value {
+    fn refuses_announcement_read(&self, name: &str) -> bool {
+        let mut state = self.lock();
+        let refuses =
+            name == lovageridge::platform::store::PEERS_TOPIC && state.refused_announcements > 0;
+        state.refused_announcements -= u32::from(refuses);
+        refuses
+    }
+
+    fn newest(&self, name: &str, after: Option<&str>) -> serde_json::Value {
         let mut state = self.lock();
+        let page_keys = state.page_keys.unwrap_or(usize::MAX);
         let topic = state.topic(name);
         let row = |(key, value, offset): &(String, Vec<u8>, u64)| json!({"Key": key, "Value": STANDARD.encode(value), "Offset": offset});
-        let items: Vec<serde_json::Value> = topic.newest.iter().map(row).collect();
-        json!({"items": items, "HasMore": false, "EndOffset": topic.end_offset()})
+        let is_next = |key: &str| after.is_none_or(|after| key > after);
+        let mut remaining = topic.newest.iter().filter(|(key, ..)| is_next(key));
+        let items: Vec<serde_json::Value> = remaining.by_ref().take(page_keys).map(row).collect();
+        let has_more = remaining.next().is_some();
+        json!({"items": items, "HasMore": has_more, "EndOffset": topic.end_offset()})
     }
 }
 
