Check whether a leaving worker is gone before its response without length counts as complete

What callers saw: streams that ended as complete though many of their events were missing, when a worker that had said that it leaves was taken away.

Cause: the end of a response without length is checked by connecting to its worker, but not if the worker was leaving or had no record any more; then the response counted as complete.

Why it works: the address that the request was sent to is tried whatever is known of the worker. Which crashes count for prompt parts is as before.

--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -45,6 +45,7 @@
 use crate::gateway::attempt::acquire::acquire_worker;
 use crate::gateway::attempt::acquire::find_worker;
 use crate::gateway::attempt::acquire::retry_after_rejection_ms;
+use crate::gateway::attempt::send::InFlight;
 use crate::gateway::attempt::send::IncomingResponse;
 use crate::gateway::attempt::send::SendResult;
 use crate::gateway::attempt::send::millis;
@@ -401,7 +402,7 @@
     let (parts, body) = response.into_parts();
     let began_ms = gateway.now_ms();
     let remaining_ms = call.deadline_at_ms.saturating_sub(began_ms);
-    let reading = read_body(gateway, body, is_framed, &in_flight.worker_id);
+    let reading = read_body(body, is_framed, &in_flight);
     let body = match timeout(millis(remaining_ms), reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
@@ -434,12 +435,7 @@
 ///
 /// # Errors
 /// Returns the reason why the body is not complete.
-async fn read_body(
-    gateway: &Gateway,
-    body: Incoming,
-    is_framed: bool,
-    worker_id: &str,
-) -> Result<Bytes, String> {
+async fn read_body(body: Incoming, is_framed: bool, in_flight: &InFlight) -> Result<Bytes, String> {
     let mut body = Limited::new(body, BUFFERED_RESPONSE_MAX_BYTES);
     let mut buffer = BodyBuffer::default();
     while let Some(frame) = body.frame().await {
@@ -451,8 +447,8 @@
             return Err("the body has too many parts".to_owned());
         }
     }
-    if !is_framed && crashes::driver::has_crashed(gateway, worker_id).await {
-        return Err("the worker crashed in a body without length".to_owned());
+    if !is_framed && crashes::driver::has_ended(in_flight).await {
+        return Err("the worker ended in a body without length".to_owned());
     }
     Ok(buffer.finish())
 }
--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -1,5 +1,6 @@
 //! A single send of a request to one worker, and its result.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -53,20 +54,23 @@
     /// Process of the worker that it was sent to, see [`crashes::CrashLedger::current_process`]; `None` if the
     /// worker was not known.
     pub process: Option<u64>,
+    /// Address of the worker.
+    pub addr: SocketAddr,
     model: Option<String>,
 }
 
 impl InFlight {
-    fn new(gateway: &Rc<Gateway>, worker_id: &str, model: Option<&str>) -> Self {
-        let recorded = gateway.directory.borrow_mut().get_mut(worker_id).map(|worker| {
+    fn new(gateway: &Rc<Gateway>, chosen: &ChosenWorker, model: Option<&str>) -> Self {
+        let recorded = gateway.directory.borrow_mut().get_mut(&chosen.id).map(|worker| {
             worker.on_sent(model);
             worker.process
         });
         let ledger = gateway.crashes.ledger.borrow();
         Self {
             gateway: Rc::clone(gateway),
-            worker_id: worker_id.to_owned(),
+            worker_id: chosen.id.clone(),
             process: recorded.map(|recorded| ledger.current_process(recorded)),
+            addr: chosen.addr,
             model: model.map(str::to_owned),
         }
     }
@@ -124,7 +128,7 @@
 ) -> SendResult {
     let started_ms = gateway.now_ms();
     let model = call.target.as_ref().map(|target| target.model.as_str());
-    let in_flight = InFlight::new(gateway, &chosen.id, model);
+    let in_flight = InFlight::new(gateway, chosen, model);
     let pooled = gateway.pool.borrow_mut().take(&chosen.id, started_ms);
     let reused = pooled.is_some();
     let remaining_ms = call.deadline_at_ms.saturating_sub(started_ms);
--- a/lovageridge/src/gateway/crashes/driver.rs
+++ b/lovageridge/src/gateway/crashes/driver.rs
@@ -113,18 +113,10 @@
     tokio::task::spawn_local(async move { check_worker(&gateway, &worker_id, addr).await });
 }
 
-/// Returns whether a worker that is not leaving refuses connections, as it does after a crash. A sound worker
-/// delays the answer by [`RESPONSE_CHECK_PAUSE`].
-pub async fn has_crashed(gateway: &Gateway, worker_id: &str) -> bool {
-    let addr = {
-        let directory = gateway.directory.borrow();
-        let worker = directory.get(worker_id).filter(|worker| !worker.is_leaving());
-        worker.map(|worker| worker.record.addr)
-    };
-    match addr {
-        Some(addr) => refuses_connections(addr, RESPONSE_CHECK_PAUSE, || ()).await,
-        None => false,
-    }
+/// Returns whether a worker has ended, with a crash or since it was leaving: it refuses connections at the address
+/// that a request was sent to. A worker that goes on delays the answer by [`RESPONSE_CHECK_PAUSE`].
+pub async fn has_ended(in_flight: &InFlight) -> bool {
+    refuses_connections(in_flight.addr, RESPONSE_CHECK_PAUSE, || ()).await
 }
 
 /// Returns whether no process listens on `addr`, after [`CHECKS`] attempts to connect with pauses between them.
--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -405,13 +405,11 @@
     }
 
     /// Returns whether a response whose body has ended is not complete: it ends inside an event, or
-    /// nothing marks its end and it has no events or its worker has crashed.
-    async fn is_cut_off(&self, gateway: &Gateway) -> bool {
+    /// nothing marks its end and it has no events or its worker has ended.
+    async fn is_cut_off(&self) -> bool {
         let Upstream { boundary, is_framed, reads, in_flight, .. } = &self.upstream;
         boundary.is_inside_event()
-            || (!is_framed
-                && (*reads == 0
-                    || crashes::driver::has_crashed(gateway, &in_flight.worker_id).await))
+            || (!is_framed && (*reads == 0 || crashes::driver::has_ended(in_flight).await))
     }
 
     async fn read(&mut self, gateway: &Gateway, call: &Call, resumable: bool) -> SourceRead {
@@ -435,7 +433,7 @@
                     _ => {}
                 },
                 Ok(Some(Err(error))) => return SourceRead::Interrupted(error),
-                Ok(None) if self.is_cut_off(gateway).await => return SourceRead::CutOff,
+                Ok(None) if self.is_cut_off().await => return SourceRead::CutOff,
                 Ok(None) => return SourceRead::End,
                 Err(_) if timeout_ms == remaining_ms => return SourceRead::DeadlinePassed,
                 Err(_) => return SourceRead::Stalled,
--- a/lovageridge/tests/gateway/framing.rs
+++ b/lovageridge/tests/gateway/framing.rs
@@ -5,6 +5,7 @@
 
 use standins::platform::caller::Caller;
 use standins::platform::caller::CallerRequest;
+use standins::platform::caller::CallerResponse;
 use standins::platform::deployment::Deployment;
 use standins::platform::deployment::engine_worker;
 use standins::platform::deployment::plain_worker;
@@ -132,6 +133,86 @@
     deployment.close();
 }
 
+/// Time from the start of a request to the news that its worker leaves, which instances have about a second later.
+const NOTICE: Duration = Duration::from_millis(200);
+
+/// Sends a request that crashes the worker `id`, which is told to leave, or whose record is removed, before.
+fn ask_leaving(
+    deployment: &Deployment,
+    id: &str,
+    state: Option<&str>,
+    ask: CallerRequest,
+) -> CallerResponse {
+    let to = deployment.instances[0].callers_addr;
+    std::thread::scope(|scope| {
+        let reply = scope.spawn(move || with_bad_part(ask).send(to).expect("response headers"));
+        std::thread::sleep(NOTICE);
+        match state {
+            Some(state) => deployment.announce(deployment.worker(id), state),
+            None => deployment.store.put("keyed.servers", id, b""),
+        }
+        reply.join().expect("a response")
+    })
+}
+
+/// Guards against streams without length and chunks that end because their worker, which is leaving or was removed,
+/// is gone, and are passed on as complete ones.
+#[test_case("/stream/once/1", Some("draining"), false; "leaving")]
+#[test_case("/stream/once/1", None, false; "removed")]
+#[test_case("/stream/again/1", Some("draining"), true; "leaving with a resumable stream")]
+#[test_case("/stream/again/1", None, true; "removed with a resumable stream")]
+fn a_stream_without_length_of_a_leaving_worker_that_ends_is_not_complete(
+    path: &str,
+    state: Option<&str>,
+    resumed: bool,
+) {
+    let slow = WorkerSpec { event_interval_ms: 400, ..engine_worker(&["m0"]) };
+    let elsewhere = WorkerSpec { domain: "b".to_owned(), ..engine_worker(&["m0"]) };
+    let deployment = deployment(vec![("e0", slow), ("e1", elsewhere)], 1);
+    deployment.worker("e0").set_behavior(Behavior::Unframed);
+    deployment.worker("e0").crash_after_events(BAD_PART, 4, DOWN);
+    let ask = CallerRequest::post(path, "id1").for_model("m0");
+    let reply = ask_leaving(&deployment, "e0", state, ask);
+    assert_eq!(reply.complete, resumed, "{:?}", reply.body);
+    assert_eq!(reply.body, events(if resumed { 10 } else { 4 }));
+    deployment.close();
+}
+
+/// Guards against a response without length that ends because its worker, which is leaving or was removed, is gone,
+/// and is passed on as a complete one.
+#[test_case(Some("draining"); "leaving")]
+#[test_case(None; "removed")]
+fn a_response_without_length_of_a_leaving_worker_that_ends_is_not_complete(state: Option<&str>) {
+    let elsewhere = WorkerSpec { domain: "b".to_owned(), ..plain_worker(5) };
+    let deployment = deployment(vec![("p0", plain_worker(2000)), ("p1", elsewhere)], 1);
+    deployment.worker("p0").set_behavior(Behavior::Unframed);
+    deployment.worker("p0").crash_on_part(BAD_PART, DOWN);
+    let reply = ask_leaving(&deployment, "p0", state, CallerRequest::post("/book/1", "id1"));
+    assert_eq!(reply.status_code, 502, "{:?}", reply.body);
+    deployment.close();
+}
+
+/// Guards against the loss of complete streams without length of a worker that is leaving and still there.
+#[test_case("/stream/once/1"; "that is not resumable")]
+#[test_case("/stream/again/1"; "that is resumable")]
+fn a_stream_without_length_of_a_leaving_worker_is_complete(path: &str) {
+    let slow = WorkerSpec { event_interval_ms: 200, ..engine_worker(&["m0"]) };
+    let elsewhere = WorkerSpec { domain: "b".to_owned(), ..engine_worker(&["m0"]) };
+    let deployment = deployment(vec![("e0", slow), ("e1", elsewhere)], 1);
+    deployment.worker("e0").set_behavior(Behavior::Unframed);
+    let to = deployment.instances[0].callers_addr;
+    let reply = std::thread::scope(|scope| {
+        let ask = CallerRequest::post(path, "id1").for_model("m0");
+        let reply = scope.spawn(move || ask.send(to).expect("a response"));
+        std::thread::sleep(NOTICE);
+        deployment.announce(deployment.worker("e0"), "draining");
+        reply.join().expect("a response")
+    });
+    assert_eq!((reply.complete, reply.body), (true, events(10)));
+    assert_eq!(deployment.worker("e1").requests(), 0);
+    deployment.close();
+}
+
 fn assert_memory_bounded(deployment: &Deployment) {
     let (rss_kib, _) = deployment.instances[0].process.usage().expect("a running process");
     assert!(rss_kib < MEMORY_MAX_KIB, "{rss_kib} KiB");
