--- /dev/null
+++ b/review/scenarios-2/worker.rs
@@ -0,0 +1,323 @@
+//! Stand-in for a worker of the platform: runs plain requests and streams, holds models, and carries out
+//! orders to load and unload them.
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::http;
+use crate::http::Message;
+use crate::http::Server;
+use crate::record::Record;
+use crate::record::unix_ms;
+
+/// Time to load or unload a model.
+const ORDER_TIME: Duration = Duration::from_millis(300);
+
+/// What a worker is and how it answers.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    pub id: &'static str,
+    pub service: &'static str,
+    /// Models that it holds at the start.
+    pub models: &'static [&'static str],
+    /// Requests that it processes at the same time; further ones are rejected.
+    pub slots: usize,
+    /// Events of a stream.
+    pub events: u64,
+    /// Time before each event.
+    pub event_interval: Duration,
+    /// Whether answers have neither a length nor chunks and end with their connection.
+    pub is_unframed: bool,
+}
+
+#[derive(Default)]
+struct State {
+    models: Vec<String>,
+    orders_accepted: u64,
+    highest_fence: u64,
+    busy_until: Option<Instant>,
+    running: usize,
+    draining: bool,
+    // Runs that are preempted: beginning of the request's id, event before which, and for how long.
+    preemption: Option<(String, u64, Duration)>,
+    sequence: u64,
+}
+
+struct Shared {
+    spec: Spec,
+    born_ms: u64,
+    started: Instant,
+    state: Mutex<State>,
+    record: Arc<Record>,
+}
+
+/// A running worker.
+pub struct Worker {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+impl Worker {
+    pub fn start(spec: Spec, record: &Arc<Record>) -> Self {
+        let models = spec.models.iter().map(|name| (*name).to_owned()).collect();
+        let state = State { models, ..State::default() };
+        let shared = Arc::new(Shared {
+            spec,
+            born_ms: unix_ms(),
+            started: Instant::now(),
+            state: Mutex::new(state),
+            record: Arc::clone(record),
+        });
+        let handler = Arc::clone(&shared);
+        Self {
+            server: Server::start(move |stream, request| handler.handle(stream, request)),
+            shared,
+        }
+    }
+
+    pub fn id(&self) -> &'static str {
+        self.shared.spec.id
+    }
+
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Returns the worker's next status report for the store.
+    pub fn status_report(&self) -> String {
+        let mut state = self.shared.state.lock().unwrap();
+        state.sequence += 1;
+        let Spec { service, slots, .. } = &self.shared.spec;
+        let reported = if state.draining { "draining" } else { "ready" };
+        format!(
+            "{{\"Service\":\"{service}\",\"Address\":\"{}\",\"Zone\":\"zone-a\",\"Version\":\"v1\",\
+             \"Slots\":{slots},\"State\":\"{reported}\",\"ColdLeftMs\":0,\"Seq\":{},\"Stage\":\"colocated\",\
+             \"Models\":{},\"AtHand\":{{\"InMemory\":[],\"OnDisk\":[]}},\"born\":{}}}",
+            self.addr(),
+            state.sequence,
+            models_json(&state.models),
+            self.shared.born_ms
+        )
+    }
+
+    /// Preempts each run of a request whose id begins with `id`, before this event and for this time, as when
+    /// the worker's memory runs out.
+    pub fn preempt(&self, id: &str, before_event: u64, time: Duration) {
+        self.shared.state.lock().unwrap().preemption = Some((id.to_owned(), before_event, time));
+    }
+
+    pub fn set_draining(&self) {
+        self.shared.state.lock().unwrap().draining = true;
+    }
+
+    /// Returns the number of requests in progress.
+    pub fn running(&self) -> usize {
+        self.shared.state.lock().unwrap().running
+    }
+
+    /// Ends the worker: its port refuses connections.
+    pub fn close(self) {
+        self.shared.record.line(&format!("worker {} has exited", self.shared.spec.id));
+        self.server.close();
+    }
+}
+
+fn models_json(models: &[String]) -> String {
+    let rows =
+        models.iter().map(|name| format!("{{\"Name\":\"{name}\",\"Version\":1,\"Adapters\":[]}}"));
+    format!("[{}]", rows.collect::<Vec<_>>().join(","))
+}
+
+/// Returns the value of a field of a flat JSON object.
+fn field(body: &[u8], name: &str) -> Option<String> {
+    let text = String::from_utf8_lossy(body);
+    let (_, rest) = text.split_once(&format!("\"{name}\":"))?;
+    let end = rest.find([',', '}'])?;
+    Some(rest[..end].trim_matches('"').to_owned())
+}
+
+impl Shared {
+    fn handle(&self, stream: &mut TcpStream, request: &Message) -> bool {
+        let expected = request.header("x-lovageridge-expect-instance");
+        if expected.is_some_and(|id| id != self.spec.id) {
+            return self.reject(stream, request, "421 Misdirected Request");
+        }
+        match request.path() {
+            "/lovageridge/report" => self.report(stream),
+            "/lovageridge/order" => self.order(stream, request),
+            "/healthz" => http::respond(stream, "200 OK", "", b""),
+            _ => self.run(stream, request),
+        }
+    }
+
+    fn reject(&self, stream: &mut TcpStream, request: &Message, status: &str) -> bool {
+        let id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
+        self.record.line(&format!("worker {} rejects {id}: {status}", self.spec.id));
+        let headers = format!(
+            "X-Lovageridge-Attempt-Id: {id}\r\nX-Lovageridge-Not-Executed: 1\r\n\
+             X-Lovageridge-Server-Load: {}\r\n",
+            self.load()
+        );
+        http::respond(stream, status, &headers, b"")
+    }
+
+    fn load(&self) -> String {
+        format!("{},0,{}", self.state.lock().unwrap().running, self.spec.slots)
+    }
+
+    fn report(&self, stream: &mut TcpStream) -> bool {
+        let state = self.state.lock().unwrap();
+        let body = format!(
+            "{{\"Stage\":\"colocated\",\"Models\":{},\"Busy\":{},\"Seq\":{},\"Waiting\":0,\"Running\":{},\
+             \"KvUsed\":0,\"KvTotal\":90000,\"Handles\":0,\"born\":{}}}",
+            models_json(&state.models),
+            state.busy_until.is_some_and(|until| Instant::now() < until),
+            state.orders_accepted,
+            state.running,
+            self.born_ms
+        );
+        drop(state);
+        http::respond(stream, "200 OK", "Content-Type: application/json\r\n", body.as_bytes())
+    }
+
+    fn order(&self, stream: &mut TcpStream, request: &Message) -> bool {
+        let number =
+            |name: &str| field(&request.body, name).and_then(|text| text.parse::<u64>().ok());
+        let model = field(&request.body, "Model").unwrap_or_default();
+        let is_load = field(&request.body, "Operation").as_deref() == Some("model_load");
+        let mut state = self.state.lock().unwrap();
+        let fence = number("Fence").unwrap_or(0);
+        let is_held = state.models.contains(&model);
+        let is_busy = state.busy_until.is_some_and(|until| Instant::now() < until);
+        let status = if fence < state.highest_fence {
+            "412 Precondition Failed"
+        } else if is_busy || number("Expected").is_some_and(|count| count != state.orders_accepted)
+        {
+            "409 Conflict"
+        } else if is_load == is_held {
+            "200 OK"
+        } else {
+            state.orders_accepted += 1;
+            state.busy_until = Some(Instant::now() + ORDER_TIME);
+            if is_load {
+                state.models.push(model.clone())
+            } else {
+                state.models.retain(|one| *one != model)
+            }
+            "202 Accepted"
+        };
+        state.highest_fence = state.highest_fence.max(fence);
+        drop(state);
+        self.record.line(&format!(
+            "worker {} gets an order, load {is_load}, model {model}, fence {fence}: {status}",
+            self.spec.id
+        ));
+        http::respond(stream, status, "", b"{}")
+    }
+
+    fn run(&self, stream: &mut TcpStream, request: &Message) -> bool {
+        let model = request.header("x-lovageridge-model").map(str::to_owned);
+        {
+            let mut state = self.state.lock().unwrap();
+            if model.as_ref().is_some_and(|model| !state.models.contains(model)) {
+                drop(state);
+                return self.reject(stream, request, "421 Misdirected Request");
+            }
+            if state.running >= self.spec.slots {
+                drop(state);
+                return self.reject(stream, request, "503 Service Unavailable");
+            }
+            state.running += 1;
+        }
+        let id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
+        self.record.line(&format!("worker {} runs {id}", self.spec.id));
+        let keep = if model.is_some() {
+            self.stream(stream, request)
+        } else {
+            self.plain(stream, request)
+        };
+        self.state.lock().unwrap().running -= 1;
+        let end = if keep.is_some() { "completes" } else { "cancels, as its caller has left," };
+        self.record.line(&format!("worker {} {end} {id}", self.spec.id));
+        keep.unwrap_or(false) && !self.spec.is_unframed
+    }
+
+    fn head(&self, request: &Message, more: &str) -> String {
+        let id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
+        format!(
+            "HTTP/1.1 200 OK\r\nX-Lovageridge-Attempt-Id: {id}\r\nX-Lovageridge-Server-Seal: seal-{}\r\n\
+             X-Lovageridge-Server-Load: {}\r\n{more}\r\n",
+            self.spec.id,
+            self.load()
+        )
+    }
+
+    fn plain(&self, stream: &mut TcpStream, request: &Message) -> Option<bool> {
+        thread::sleep(self.spec.event_interval);
+        let body = format!("{} {}", self.spec.id, request.target());
+        let head = self.head(request, &format!("Content-Length: {}\r\n", body.len()));
+        stream.write_all(format!("{head}{body}").as_bytes()).ok()?;
+        Some(true)
+    }
+
+    /// Answers with a stream; returns `None` if the caller has left.
+    fn stream(&self, stream: &mut TcpStream, request: &Message) -> Option<bool> {
+        let framing = if self.spec.is_unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
+        let head = self.head(request, &format!("Content-Type: text/event-stream\r\n{framing}"));
+        stream.write_all(head.as_bytes()).ok()?;
+        let after = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        for id in after + 1..=self.spec.events {
+            self.wait(stream, self.time_to_step())?;
+            let preemption = self.state.lock().unwrap().preemption.clone();
+            let request_id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
+            if let Some((_, _, time)) = preemption
+                .filter(|(preempted, before, _)| request_id.starts_with(preempted) && *before == id)
+            {
+                self.record.line(&format!(
+                    "worker {} preempts {request_id} before event {id} for {} ms",
+                    self.spec.id,
+                    time.as_millis()
+                ));
+                self.wait(stream, time)?;
+            }
+            let event = format!("id: {id}\ndata: token {id}\n\n");
+            let bytes = match self.spec.is_unframed {
+                true => event,
+                false => format!("{:x}\r\n{event}\r\n", event.len()),
+            };
+            stream.write_all(bytes.as_bytes()).ok()?;
+        }
+        if !self.spec.is_unframed {
+            stream.write_all(b"0\r\n\r\n").ok()?;
+        }
+        Some(true)
+    }
+
+    /// Returns the time to the next step of the batch, at which each stream in it gets an event.
+    fn time_to_step(&self) -> Duration {
+        let interval_us = self.spec.event_interval.as_micros() as u64;
+        let elapsed_us = self.started.elapsed().as_micros() as u64;
+        Duration::from_micros(interval_us - elapsed_us % interval_us)
+    }
+
+    /// Waits for `time`; returns `None` if the caller leaves meanwhile.
+    fn wait(&self, stream: &TcpStream, time: Duration) -> Option<()> {
+        let until = Instant::now() + time;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return Some(());
+            }
+            thread::sleep(left.min(Duration::from_millis(5)));
+            if http::has_left(stream) {
+                return None;
+            }
+        }
+    }
+}
