--- a/review/scenarios-2/foreign_entries.rs
+++ b/review/scenarios-2/foreign_entries.rs
@@ -55,6 +55,8 @@
             events: 0,
             event_interval: Duration::from_millis(30),
             is_unframed: false,
+            reads_late: false,
+            ignores_close: false,
         };
         Arc::new(Worker::start(spec, record))
     };
--- a/review/scenarios-2/http.rs
+++ b/review/scenarios-2/http.rs
@@ -94,6 +94,12 @@
 /// Reads a message whose body has a length or chunks, or none.
 pub fn read_message(reader: &mut BufReader<TcpStream>) -> Option<Message> {
     let mut message = read_head(reader)?;
+    read_body(reader, &mut message)?;
+    Some(message)
+}
+
+/// Reads the body of a message whose head has been read.
+fn read_body(reader: &mut BufReader<TcpStream>, message: &mut Message) -> Option<()> {
     if message.header("transfer-encoding").is_some() {
         while let Some(chunk) = read_chunk(reader)? {
             message.body.extend_from_slice(&chunk);
@@ -102,7 +108,7 @@
         message.body = vec![0; length.parse().ok()?];
         reader.read_exact(&mut message.body).ok()?;
     }
-    Some(message)
+    Some(())
 }
 
 /// Reads one chunk; `Some(None)` is the last one, `None` the end of the connection or an error.
@@ -125,23 +131,32 @@
     acceptor: thread::JoinHandle<()>,
 }
 
+/// Answers a request; returns whether the connection is kept.
+type Handle = dyn Fn(&mut TcpStream, &Message) -> bool + Send + Sync;
+/// Returns whether the body of a request, of which only the head has been read, is read after the answer.
+type ReadsLate = dyn Fn(&Message) -> bool + Send + Sync;
+
 impl Server {
-    /// Listens on a free loopback port. `handle` answers a request, and returns whether the connection is
-    /// kept.
+    /// Listens on a free loopback port and answers each request with `handle`.
     pub fn start(
         handle: impl Fn(&mut TcpStream, &Message) -> bool + Send + Sync + 'static,
     ) -> Self {
+        Self::start_with(Arc::new(handle), Arc::new(|_: &Message| false))
+    }
+
+    /// The same, but reads the bodies of some requests only after their answers.
+    pub fn start_with(handle: Arc<Handle>, reads_late: Arc<ReadsLate>) -> Self {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
         listener.set_nonblocking(true).expect("a listener that can be polled");
         let addr = listener.local_addr().expect("the address of the listener");
         let is_closed = Arc::new(AtomicBool::new(false));
-        let (handle, closed) = (Arc::new(handle), Arc::clone(&is_closed));
+        let closed = Arc::clone(&is_closed);
         let acceptor = thread::spawn(move || {
             while !closed.load(Ordering::SeqCst) {
                 match listener.accept() {
                     Ok((stream, _)) => {
-                        let handle = Arc::clone(&handle);
-                        thread::spawn(move || serve(stream, &*handle));
+                        let (handle, reads_late) = (Arc::clone(&handle), Arc::clone(&reads_late));
+                        thread::spawn(move || serve(stream, &*handle, &*reads_late));
                     }
                     Err(_) => thread::sleep(ACCEPT_POLL),
                 }
@@ -161,19 +176,24 @@
     }
 }
 
-fn serve(stream: TcpStream, handle: &(dyn Fn(&mut TcpStream, &Message) -> bool + Send + Sync)) {
+fn serve(stream: TcpStream, handle: &Handle, reads_late: &ReadsLate) {
     let prepared = stream.set_nonblocking(false).and_then(|()| stream.set_nodelay(true));
     let (Ok(()), Ok(reading)) = (prepared, stream.try_clone()) else { return };
     let mut writing = stream;
     let mut reader = BufReader::new(reading);
-    while let Some(request) = read_message(&mut reader) {
-        if !handle(&mut writing, &request) {
+    while let Some(mut request) = read_head(&mut reader) {
+        let is_late = reads_late(&request);
+        if !is_late && read_body(&mut reader, &mut request).is_none() {
+            return;
+        }
+        let is_kept = handle(&mut writing, &request);
+        if !is_kept || (is_late && read_body(&mut reader, &mut request).is_none()) {
             return;
         }
     }
 }
 
-/// Returns whether the other side has closed or reset the connection.
+/// Returns whether the other side has closed or reset the connection. Unread bytes hide a regular close.
 pub fn has_left(stream: &TcpStream) -> bool {
     let mut byte = [0];
     if stream.set_nonblocking(true).is_err() {
--- a/review/scenarios-2/main.rs
+++ b/review/scenarios-2/main.rs
@@ -3,9 +3,11 @@
 //! Usage: scenarios NAME RECORD. `TROUBLE=0` leaves out the disruption. Exits with 1 if the rule was broken, 0
 //! if it held, and 2 if the scenario could not run.
 
+mod early_answer;
 mod foreign_entries;
 mod gateway;
 mod http;
+mod moved_streams;
 mod preempted_streams;
 mod record;
 mod site;
@@ -33,7 +35,9 @@
 
 fn scenario(name: &str) -> Option<Scenario> {
     match name {
+        "early-answer" => Some(early_answer::run),
         "foreign-entries" => Some(foreign_entries::run),
+        "moved-streams" => Some(moved_streams::run),
         "preempted-streams" => Some(preempted_streams::run),
         "unframed-end" => Some(unframed_end::run),
         _ => None,
--- a/review/scenarios-2/preempted_streams.rs
+++ b/review/scenarios-2/preempted_streams.rs
@@ -54,6 +54,8 @@
         events: EVENTS,
         event_interval: interval,
         is_unframed: false,
+        reads_late: false,
+        ignores_close: false,
     };
     let roomy = Arc::new(Worker::start(spec.clone(), record));
     let full_spec = Spec {
--- a/review/scenarios-2/site.rs
+++ b/review/scenarios-2/site.rs
@@ -95,12 +95,24 @@
     folder
 }
 
-/// Returns a request for a stream of `model`.
+/// Returns a request for a stream of `model`, with a short body.
 pub fn stream_request(route: &str, id: &str, model: &str, deadline_ms: u64) -> String {
+    stream_request_with(route, id, model, deadline_ms, "hi")
+}
+
+/// Returns a request for a stream of `model`.
+pub fn stream_request_with(
+    route: &str,
+    id: &str,
+    model: &str,
+    deadline_ms: u64,
+    body: &str,
+) -> String {
     format!(
         "POST /{route}/x HTTP/1.1\r\nHost: {HOST}\r\nX-Lovageridge-Attempt-Id: {id}\r\n\
          X-Lovageridge-Model: {model}\r\nX-Lovageridge-Token-Count: 826,290\r\n\
-         X-Lovageridge-Deadline-Ms: {deadline_ms}\r\nContent-Length: 2\r\n\r\nhi"
+         X-Lovageridge-Deadline-Ms: {deadline_ms}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
     )
 }
 
--- a/review/scenarios-2/unframed_end.rs
+++ b/review/scenarios-2/unframed_end.rs
@@ -51,6 +51,8 @@
         events: EVENTS,
         event_interval: Duration::from_millis(80),
         is_unframed: true,
+        reads_late: false,
+        ignores_close: false,
     };
     let leaving = Arc::new(Worker::start(spec.clone(), record));
     let others = OTHERS.map(|id| {
--- a/review/scenarios-2/worker.rs
+++ b/review/scenarios-2/worker.rs
@@ -19,6 +19,9 @@
 /// Time to load or unload a model.
 const ORDER_TIME: Duration = Duration::from_millis(300);
 
+/// Length from which on a body is a long one.
+const LONG_BODY_BYTES: usize = 64 << 10;
+
 /// What a worker is and how it answers.
 #[derive(Clone, Debug)]
 pub struct Spec {
@@ -34,6 +37,19 @@
     pub event_interval: Duration,
     /// Whether answers have neither a length nor chunks and end with their connection.
     pub is_unframed: bool,
+    /// Whether it answers requests with a long body before it reads the body.
+    pub reads_late: bool,
+    /// Whether it goes on with a run whose connection closes.
+    pub ignores_close: bool,
+}
+
+/// A request that a worker has worked on.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub id: String,
+    pub started: Instant,
+    /// End of the work; `None` while it goes on.
+    pub ended: Option<Instant>,
 }
 
 #[derive(Default)]
@@ -47,6 +63,7 @@
     // Runs that are preempted: beginning of the request's id, event before which, and for how long.
     preemption: Option<(String, u64, Duration)>,
     sequence: u64,
+    runs: Vec<Run>,
 }
 
 struct Shared {
@@ -75,10 +92,12 @@
             record: Arc::clone(record),
         });
         let handler = Arc::clone(&shared);
-        Self {
-            server: Server::start(move |stream, request| handler.handle(stream, request)),
-            shared,
-        }
+        let reads_late = shared.spec.reads_late;
+        let server = Server::start_with(
+            Arc::new(move |stream, request| handler.handle(stream, request)),
+            Arc::new(move |head| reads_late && has_long_body(head)),
+        );
+        Self { server, shared }
     }
 
     pub fn id(&self) -> &'static str {
@@ -116,6 +135,11 @@
         self.shared.state.lock().unwrap().draining = true;
     }
 
+    /// Returns all runs so far.
+    pub fn runs(&self) -> Vec<Run> {
+        self.shared.state.lock().unwrap().runs.clone()
+    }
+
     /// Returns the number of requests in progress.
     pub fn running(&self) -> usize {
         self.shared.state.lock().unwrap().running
@@ -128,6 +152,11 @@
     }
 }
 
+fn has_long_body(head: &Message) -> bool {
+    let length = head.header("content-length").and_then(|length| length.parse().ok());
+    length.is_some_and(|length: usize| length >= LONG_BODY_BYTES)
+}
+
 fn models_json(models: &[String]) -> String {
     let rows =
         models.iter().map(|name| format!("{{\"Name\":\"{name}\",\"Version\":1,\"Adapters\":[]}}"));
@@ -223,7 +252,8 @@
 
     fn run(&self, stream: &mut TcpStream, request: &Message) -> bool {
         let model = request.header("x-lovageridge-model").map(str::to_owned);
-        {
+        let id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
+        let at = {
             let mut state = self.state.lock().unwrap();
             if model.as_ref().is_some_and(|model| !state.models.contains(model)) {
                 drop(state);
@@ -234,15 +264,20 @@
                 return self.reject(stream, request, "503 Service Unavailable");
             }
             state.running += 1;
-        }
-        let id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
+            state.runs.push(Run { id: id.to_owned(), started: Instant::now(), ended: None });
+            state.runs.len() - 1
+        };
         self.record.line(&format!("worker {} runs {id}", self.spec.id));
         let keep = if model.is_some() {
             self.stream(stream, request)
         } else {
             self.plain(stream, request)
         };
-        self.state.lock().unwrap().running -= 1;
+        {
+            let mut state = self.state.lock().unwrap();
+            state.running -= 1;
+            state.runs[at].ended = Some(Instant::now());
+        }
         let end = if keep.is_some() { "completes" } else { "cancels, as its caller has left," };
         self.record.line(&format!("worker {} {end} {id}", self.spec.id));
         keep.unwrap_or(false) && !self.spec.is_unframed
@@ -291,10 +326,10 @@
                 true => event,
                 false => format!("{:x}\r\n{event}\r\n", event.len()),
             };
-            stream.write_all(bytes.as_bytes()).ok()?;
+            self.write(stream, bytes.as_bytes())?;
         }
         if !self.spec.is_unframed {
-            stream.write_all(b"0\r\n\r\n").ok()?;
+            self.write(stream, b"0\r\n\r\n")?;
         }
         Some(true)
     }
@@ -306,7 +341,12 @@
         Duration::from_micros(interval_us - elapsed_us % interval_us)
     }
 
-    /// Waits for `time`; returns `None` if the caller leaves meanwhile.
+    /// Writes a part of an answer; returns `None` if that ends the run, since the caller has left.
+    fn write(&self, stream: &mut TcpStream, bytes: &[u8]) -> Option<()> {
+        (stream.write_all(bytes).is_ok() || self.spec.ignores_close).then_some(())
+    }
+
+    /// Waits for `time`; returns `None` if the caller leaves meanwhile and that ends the run.
     fn wait(&self, stream: &TcpStream, time: Duration) -> Option<()> {
         let until = Instant::now() + time;
         loop {
@@ -315,7 +355,7 @@
                 return Some(());
             }
             thread::sleep(left.min(Duration::from_millis(5)));
-            if http::has_left(stream) {
+            if !self.spec.ignores_close && http::has_left(stream) {
                 return None;
             }
         }
