--- a/review/scenarios-2/early_answer.rs
+++ b/review/scenarios-2/early_answer.rs
@@ -22,6 +22,10 @@
 const ROUTE: &str = "gate-chat";
 const STREAMS: usize = 6;
 const EVENTS: u64 = 58;
+const EVENT_INTERVAL: Duration = Duration::from_millis(80);
+/// Time before the end of the first streams at which the instance gets SIGHUP: the second ones begin within
+/// `ConfigApplyMs` after it.
+const HANG_UP_LEAD: Duration = Duration::from_millis(400);
 /// Length of the long bodies; the configuration allows 4 MiB.
 const BODY_BYTES: usize = 1_000_000;
 /// A caller leaves after the longest of two seconds, four times the objective and eight times the pause.
@@ -46,7 +50,7 @@
         models: &["shared"],
         slots: 64,
         events: EVENTS,
-        event_interval: Duration::from_millis(80),
+        event_interval: EVENT_INTERVAL,
         is_unframed: false,
         reads_late: trouble,
         ignores_close: false,
@@ -78,6 +82,8 @@
             })
         })
         .collect();
+    thread::sleep(EVENT_INTERVAL * EVENTS as u32 - HANG_UP_LEAD);
+    gateway.hang_up(record);
     let ends: Vec<(End, End)> = callers.into_iter().map(|caller| caller.join().unwrap()).collect();
     gateway.close();
     reports.close();
--- a/review/scenarios-2/gateway.rs
+++ b/review/scenarios-2/gateway.rs
@@ -13,6 +13,7 @@
 use std::time::Instant;
 
 use crate::http::Connection;
+use crate::record::Record;
 
 /// Program and argument of the deploy file, `deploy/system.toml`.
 const PROGRAM: &str = "target/release/lovageridge";
@@ -105,6 +106,14 @@
             && connection.read_message().is_some_and(|response| response.status() == 200)
     }
 
+    /// Tells the process that its settings have changed, as the platform does.
+    pub fn hang_up(&self, record: &Record) {
+        let command = format!("kill -s HUP {}", self.process.id());
+        let status = Command::new("sh").args(["-c", &command]).status();
+        assert!(status.is_ok_and(|status| status.success()), "the process gets the signal");
+        record.line("the instance gets SIGHUP");
+    }
+
     /// Kills the process.
     pub fn close(mut self) {
         self.process.kill().expect("the process can be killed");
