--- a/review/scenarios-2/early_answer.rs
+++ b/review/scenarios-2/early_answer.rs
@@ -49,6 +49,7 @@
         service: "engine",
         models: &["shared"],
         slots: 64,
+        queue: 192,
         events: EVENTS,
         event_interval: EVENT_INTERVAL,
         is_unframed: false,
--- a/review/scenarios-2/foreign_entries.rs
+++ b/review/scenarios-2/foreign_entries.rs
@@ -52,6 +52,7 @@
             service: "plain",
             models: &[],
             slots: 6,
+            queue: 24,
             events: 0,
             event_interval: Duration::from_millis(30),
             is_unframed: false,
@@ -105,6 +106,7 @@
     let mut sent = 0;
     while Instant::now() < until {
         let id = format!("{name}{sent}");
+        record.line(&format!("caller sends {id}"));
         let status = send_request(&gateways[sent % gateways.len()], &id);
         record.line(&format!("caller of {id} gets {status:?}"));
         served += usize::from(status == Some(200));
--- a/review/scenarios-2/moved_streams.rs
+++ b/review/scenarios-2/moved_streams.rs
@@ -1,4 +1,4 @@
-//! A worker preempts streams for two seconds, as when its memory runs out, and goes on with them, also when their
+//! Workers preempt streams for 1.5 s, as when their memory runs out, and go on with them, also when their
 //! connections close. No stream may go on at another worker while the first one still works on it.
 
 use std::path::Path;
@@ -22,11 +22,13 @@
 use crate::worker::Worker;
 
 const ROUTE: &str = "board-digest";
-const STREAMS: usize = 4;
+const STREAMS: usize = 8;
 const EVENTS: u64 = 60;
-/// Event before which each stream is preempted, and for how long. A stream that goes on at another worker is past it.
-const PREEMPTED_BEFORE: u64 = 20;
-const PREEMPTED: Duration = Duration::from_secs(2);
+/// Streams that each worker preempts, the newest first, and for how long; the others go on.
+const PREEMPTED_STREAMS: usize = 2;
+const PREEMPTED: Duration = Duration::from_millis(1500);
+/// Time between two preemptions.
+const PREEMPTION_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which the worker before may still work, given by the rule.
 const OVERLAP: Duration = Duration::from_millis(400);
 /// A caller leaves after the longest of two seconds, four times the objective and eight times the pause.
@@ -51,6 +53,7 @@
             service: "engine",
             models: &["shared"],
             slots: 64,
+            queue: 192,
             events: EVENTS,
             event_interval: Duration::from_millis(50),
             is_unframed: false,
@@ -60,11 +63,6 @@
         Arc::new(Worker::start(spec, record))
     };
     let workers = [start("i-1"), start("i-2")];
-    if trouble {
-        for worker in &workers {
-            worker.preempt("", PREEMPTED_BEFORE, PREEMPTED);
-        }
-    }
     let reports = Reports::start(&store, &workers);
     let settings = Settings {
         name: "edge-1",
@@ -88,6 +86,12 @@
             })
         })
         .collect();
+    // All streams have begun, and none has ended.
+    thread::sleep(Duration::from_millis(600));
+    for _ in 0..if trouble { PREEMPTED_STREAMS } else { 0 } {
+        workers.iter().for_each(|worker| worker.preempt_newest(PREEMPTED));
+        thread::sleep(PREEMPTION_INTERVAL);
+    }
     let ends: Vec<End> = callers.into_iter().map(|caller| caller.join().unwrap()).collect();
     // The first worker's runs end by then.
     thread::sleep(PREEMPTED + Duration::from_secs(3));
--- a/review/scenarios-2/preempted_streams.rs
+++ b/review/scenarios-2/preempted_streams.rs
@@ -20,12 +20,16 @@
 use crate::worker::Worker;
 
 const ROUTE: &str = "board-digest";
-/// Streams that the worker preempts.
-const STREAMS: usize = 8;
-/// Time between the beginnings of two callers, and so between two preemptions.
-const STAGGER: Duration = Duration::from_millis(180);
-/// Streams of another model that fill the other worker.
-const FILLING_STREAMS: usize = 16;
+const STREAMS: usize = 10;
+/// Streams that the worker preempts, the newest first; the others go on.
+const PREEMPTED_STREAMS: usize = 6;
+/// Time between the beginnings of two callers.
+const STAGGER: Duration = Duration::from_millis(60);
+/// Time between two preemptions.
+const PREEMPTION_INTERVAL: Duration = Duration::from_millis(100);
+/// Places of the other worker, and of its queue; streams of another model fill both.
+const SLOTS: usize = 16;
+const QUEUE: usize = 4;
 const EVENTS: u64 = 60;
 const EVENT_INTERVAL: Duration = Duration::from_millis(30);
 /// Time before the end of the first stream at which the instance gets SIGHUP: the second streams begin within
@@ -54,6 +58,7 @@
         service: "engine",
         models: &["shared"],
         slots: 64,
+        queue: 192,
         events: EVENTS,
         event_interval: EVENT_INTERVAL,
         is_unframed: false,
@@ -64,7 +69,8 @@
     let full_spec = Spec {
         id: "i-full",
         models: &["shared", "filling"],
-        slots: FILLING_STREAMS,
+        slots: SLOTS,
+        queue: QUEUE,
         events: 400,
         event_interval: Duration::from_millis(50),
         ..spec
@@ -91,16 +97,13 @@
         })
     };
     let filling: Vec<_> =
-        (0..FILLING_STREAMS).map(|at| call(format!("fill{at}"), "filling")).collect();
+        (0..SLOTS + QUEUE).map(|at| call(format!("fill{at}"), "filling")).collect();
     thread::sleep(Duration::from_millis(300));
-    if full.running() != FILLING_STREAMS {
+    if full.running() != SLOTS || full.waiting() != QUEUE {
         record.line("the other worker could not be filled");
         return Verdict::CouldNotRun;
     }
-    if trouble {
-        roomy.preempt("second", 20, PREEMPTED);
-    }
-    // Each caller keeps its connection: a first stream, then the one that is preempted.
+    // Each caller keeps its connection: a first stream, then a second one.
     let callers: Vec<_> = (0..STREAMS)
         .map(|at| {
             let (front, record) = (gateway.front, Arc::clone(record));
@@ -118,6 +121,12 @@
         .collect();
     thread::sleep(EVENT_INTERVAL * EVENTS as u32 - HANG_UP_LEAD);
     gateway.hang_up(record);
+    // All second streams have begun, and none has ended.
+    thread::sleep(HANG_UP_LEAD + STAGGER * (STREAMS as u32 + 2));
+    for _ in 0..if trouble { PREEMPTED_STREAMS } else { 0 } {
+        roomy.preempt_newest(PREEMPTED);
+        thread::sleep(PREEMPTION_INTERVAL);
+    }
     let ends: Vec<(End, End)> = callers.into_iter().map(|caller| caller.join().unwrap()).collect();
     gateway.close();
     for caller in filling {
--- a/review/scenarios-2/worker.rs
+++ b/review/scenarios-2/worker.rs
@@ -19,6 +19,8 @@
 /// Time to load or unload a model.
 const ORDER_TIME: Duration = Duration::from_millis(300);
 
+/// Interval at which a waiting request looks for a place.
+const QUEUE_POLL: Duration = Duration::from_millis(5);
 /// Length from which on a body is a long one.
 const LONG_BODY_BYTES: usize = 64 << 10;
 
@@ -29,8 +31,10 @@
     pub service: &'static str,
     /// Models that it holds at the start.
     pub models: &'static [&'static str],
-    /// Requests that it processes at the same time; further ones are rejected.
+    /// Requests that it processes at the same time.
     pub slots: usize,
+    /// Requests that wait for one of these places; further ones are rejected.
+    pub queue: usize,
     /// Events of a stream.
     pub events: u64,
     /// Time before each event.
@@ -50,6 +54,8 @@
     pub started: Instant,
     /// End of the work; `None` while it goes on.
     pub ended: Option<Instant>,
+    /// Time until which it was preempted, if it was.
+    pub preempted_until: Option<Instant>,
 }
 
 #[derive(Default)]
@@ -59,9 +65,8 @@
     highest_fence: u64,
     busy_until: Option<Instant>,
     running: usize,
+    waiting: usize,
     draining: bool,
-    // Runs that are preempted: beginning of the request's id, event before which, and for how long.
-    preemption: Option<(String, u64, Duration)>,
     sequence: u64,
     runs: Vec<Run>,
 }
@@ -125,10 +130,22 @@
         )
     }
 
-    /// Preempts each run of a request whose id begins with `id`, before this event and for this time, as when
-    /// the worker's memory runs out.
-    pub fn preempt(&self, id: &str, before_event: u64, time: Duration) {
-        self.shared.state.lock().unwrap().preemption = Some((id.to_owned(), before_event, time));
+    /// Preempts the newest run that has not been preempted yet, for this time, as when the worker's memory runs
+    /// out.
+    pub fn preempt_newest(&self, time: Duration) {
+        let mut state = self.shared.state.lock().unwrap();
+        let runs = state.runs.iter_mut().rev();
+        let newest = runs
+            .filter(|run| run.ended.is_none() && run.preempted_until.is_none())
+            .max_by_key(|run| run.started);
+        let Some(run) = newest else { return };
+        run.preempted_until = Some(Instant::now() + time);
+        let Spec { id, .. } = self.shared.spec;
+        self.shared.record.line(&format!(
+            "worker {id} preempts {} for {} ms",
+            run.id,
+            time.as_millis()
+        ));
     }
 
     pub fn set_draining(&self) {
@@ -145,6 +162,11 @@
         self.shared.state.lock().unwrap().running
     }
 
+    /// Returns the number of requests that wait for a place.
+    pub fn waiting(&self) -> usize {
+        self.shared.state.lock().unwrap().waiting
+    }
+
     /// Ends the worker: its port refuses connections.
     pub fn close(self) {
         self.shared.record.line(&format!("worker {} has exited", self.shared.spec.id));
@@ -197,17 +219,19 @@
     }
 
     fn load(&self) -> String {
-        format!("{},0,{}", self.state.lock().unwrap().running, self.spec.slots)
+        let state = self.state.lock().unwrap();
+        format!("{},{},{}", state.running, state.waiting, self.spec.slots)
     }
 
     fn report(&self, stream: &mut TcpStream) -> bool {
         let state = self.state.lock().unwrap();
         let body = format!(
-            "{{\"Stage\":\"colocated\",\"Models\":{},\"Busy\":{},\"Seq\":{},\"Waiting\":0,\"Running\":{},\
+            "{{\"Stage\":\"colocated\",\"Models\":{},\"Busy\":{},\"Seq\":{},\"Waiting\":{},\"Running\":{},\
              \"KvUsed\":0,\"KvTotal\":90000,\"Handles\":0,\"born\":{}}}",
             models_json(&state.models),
             state.busy_until.is_some_and(|until| Instant::now() < until),
             state.orders_accepted,
+            state.waiting,
             state.running,
             self.born_ms
         );
@@ -253,23 +277,22 @@
     fn run(&self, stream: &mut TcpStream, request: &Message) -> bool {
         let model = request.header("x-lovageridge-model").map(str::to_owned);
         let id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
-        let at = {
+        {
             let mut state = self.state.lock().unwrap();
             if model.as_ref().is_some_and(|model| !state.models.contains(model)) {
                 drop(state);
                 return self.reject(stream, request, "421 Misdirected Request");
             }
-            if state.running >= self.spec.slots {
+            if state.running >= self.spec.slots && state.waiting >= self.spec.queue {
                 drop(state);
                 return self.reject(stream, request, "503 Service Unavailable");
             }
-            state.running += 1;
-            state.runs.push(Run { id: id.to_owned(), started: Instant::now(), ended: None });
-            state.runs.len() - 1
-        };
+            state.waiting += 1;
+        }
+        let Some(at) = self.begin(stream, id) else { return false };
         self.record.line(&format!("worker {} runs {id}", self.spec.id));
         let keep = if model.is_some() {
-            self.stream(stream, request)
+            self.stream(stream, request, at)
         } else {
             self.plain(stream, request)
         };
@@ -283,6 +306,29 @@
         keep.unwrap_or(false) && !self.spec.is_unframed
     }
 
+    /// Waits for a place and begins a run there; returns its index, or `None` if the caller leaves meanwhile.
+    fn begin(&self, stream: &TcpStream, id: &str) -> Option<usize> {
+        loop {
+            let mut state = self.state.lock().unwrap();
+            let has_left = http::has_left(stream);
+            if has_left || state.running < self.spec.slots {
+                state.waiting -= 1;
+            }
+            if has_left {
+                return None;
+            }
+            if state.running < self.spec.slots {
+                state.running += 1;
+                let started = Instant::now();
+                let run = Run { id: id.to_owned(), started, ended: None, preempted_until: None };
+                state.runs.push(run);
+                return Some(state.runs.len() - 1);
+            }
+            drop(state);
+            thread::sleep(QUEUE_POLL);
+        }
+    }
+
     fn head(&self, request: &Message, more: &str) -> String {
         let id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
         format!(
@@ -302,24 +348,16 @@
     }
 
     /// Answers with a stream; returns `None` if the caller has left.
-    fn stream(&self, stream: &mut TcpStream, request: &Message) -> Option<bool> {
+    fn stream(&self, stream: &mut TcpStream, request: &Message, at: usize) -> Option<bool> {
         let framing = if self.spec.is_unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
         let head = self.head(request, &format!("Content-Type: text/event-stream\r\n{framing}"));
         stream.write_all(head.as_bytes()).ok()?;
         let after = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         for id in after + 1..=self.spec.events {
             self.wait(stream, self.time_to_step())?;
-            let preemption = self.state.lock().unwrap().preemption.clone();
-            let request_id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
-            if let Some((_, _, time)) = preemption
-                .filter(|(preempted, before, _)| request_id.starts_with(preempted) && *before == id)
-            {
-                self.record.line(&format!(
-                    "worker {} preempts {request_id} before event {id} for {} ms",
-                    self.spec.id,
-                    time.as_millis()
-                ));
-                self.wait(stream, time)?;
+            let preempted_until = self.state.lock().unwrap().runs[at].preempted_until;
+            if let Some(until) = preempted_until {
+                self.wait(stream, until.saturating_duration_since(Instant::now()))?;
             }
             let event = format!("id: {id}\ndata: token {id}\n\n");
             let bytes = match self.spec.is_unframed {
