Complete responses without length of leaving workers are complete

What callers saw: a stream without length or chunks got all its events, and its connection was closed without the last chunk; a plain response became a 502.

Cause: such a response ends with its connection, and so does one whose process ends. Any worker that refused connections 20 ms later counted as lost in the response, also one whose exit was due.

Evidence: the worker's streams ended properly; the same streams are complete if it stays. The 502 had the cause that only the check of the worker's port sets.

Fix: the directory keeps when a departure was announced, by the worker's record or the removal of the record, and whether the worker named a time at which it is terminated. A worker that is gone at least Bounds.DrainMs after an announcement without such a time has exited: a plain response of it is complete, and so is a stream that ended within 20 ms of its last event. A planned exit does not come earlier, and a crash between two events leaves a longer pause, so that both stay cut off as before.

Tests: framing has ten new cases. On the code before, with the new stand-ins, six are red (four streams, two plain responses); four guard against leaving workers that crash or are terminated, and were green.

--- a/lovageridge/src/gateway/attempt.rs
+++ b/lovageridge/src/gateway/attempt.rs
@@ -31,6 +31,7 @@
 use crate::gateway::connection;
 use crate::gateway::connection::SendBody;
 use crate::gateway::crashes;
+use crate::gateway::crashes::driver::WorkerState;
 use crate::gateway::eventlog::Severity;
 use crate::gateway::memory::budget::Class;
 use crate::gateway::message_fields::RequestFields;
@@ -445,7 +446,7 @@
     let (parts, body) = response.into_parts();
     let began_ms = gateway.now_ms();
     let remaining_ms = call.deadline_at_ms.saturating_sub(began_ms);
-    let reading = read_body(gateway, body, is_framed, &in_flight);
+    let reading = read_body(gateway, call, body, is_framed, &in_flight);
     let body = match timeout(millis(remaining_ms), reading).await {
         Ok(Ok(body)) => body,
         Ok(Err(error)) => {
@@ -480,6 +481,7 @@
 /// Returns the reason why the body is not complete.
 async fn read_body(
     gateway: &Gateway,
+    call: &Call,
     body: Incoming,
     is_framed: bool,
     in_flight: &InFlight,
@@ -503,7 +505,9 @@
             return Err("the body has too many parts".to_owned());
         }
     }
-    if !is_framed && crashes::driver::has_ended(in_flight).await {
+    if !is_framed
+        && crashes::driver::worker_state(gateway, call, in_flight).await == WorkerState::Lost
+    {
         return Err("the worker ended in a body without length".to_owned());
     }
     Ok(held.attach(buffer.finish()))
--- a/lovageridge/src/gateway/crashes/driver.rs
+++ b/lovageridge/src/gateway/crashes/driver.rs
@@ -113,10 +113,30 @@
     tokio::task::spawn_local(async move { check_worker(&gateway, &worker_id, addr).await });
 }
 
-/// Returns whether a worker has ended, with a crash or since it was leaving: it refuses connections at the address
-/// that a request was sent to. A worker that goes on delays the answer by [`RESPONSE_CHECK_PAUSE`].
-pub async fn has_ended(in_flight: &InFlight) -> bool {
-    refuses_connections(in_flight.addr, RESPONSE_CHECK_PAUSE, || ()).await
+/// What a worker does once a response has ended with its connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WorkerState {
+    /// It accepts connections.
+    Running,
+    /// It has ended after it had announced that, so that it may have exited after its last response.
+    Exited,
+    /// It has ended otherwise.
+    Lost,
+}
+
+/// Returns the state of a worker by whether it refuses connections at the address that a request was sent to. A
+/// worker that goes on delays the answer by [`RESPONSE_CHECK_PAUSE`].
+pub async fn worker_state(gateway: &Gateway, call: &Call, in_flight: &InFlight) -> WorkerState {
+    let ended_ms = gateway.now_ms();
+    if !refuses_connections(in_flight.addr, RESPONSE_CHECK_PAUSE, || ()).await {
+        return WorkerState::Running;
+    }
+    let drain_ms = gateway.settings().drain_ms;
+    let worker_id = in_flight.worker_id.as_str();
+    let exited = gateway.directory.borrow().may_have_exited(worker_id, drain_ms, ended_ms);
+    let line = gateway.log.line(events::WORKER_END_CHECKED, Severity::Notable);
+    line.text("request", call.id()).text("worker", worker_id).text("announced", exited).emit();
+    if exited { WorkerState::Exited } else { WorkerState::Lost }
 }
 
 /// Returns whether no process listens on `addr`, after [`CHECKS`] attempts to connect with pauses between them.
--- a/lovageridge/src/gateway/directory.rs
+++ b/lovageridge/src/gateway/directory.rs
@@ -27,6 +27,7 @@
 #[cfg(test)]
 pub(crate) mod tests;
 
+use crate::gateway::directory::departed::AnnouncedDeparture;
 use crate::gateway::directory::departed::DepartedWorkers;
 use crate::gateway::directory::estimate::LeftPlaces;
 use crate::gateway::directory::health::Health;
@@ -129,6 +130,8 @@
     pub key: u64,
     /// Hash of its id and start time.
     pub process: u64,
+    /// Announcement in its records that it leaves.
+    pub departure: Option<AnnouncedDeparture>,
     /// Whether it has said in a response that it is shutting down; holds until it starts again.
     pub said_leaving: bool,
     /// Time until which it has asked for no further requests, in ms.
@@ -256,6 +259,7 @@
             _ if worker.record == record => Change::None,
             _ => Change::Updated,
         };
+        worker.departure = AnnouncedDeparture::after(worker.departure, &record, now_ms);
         worker.record = WorkerRecord { leaving, ..record };
         worker.record_received_ms = now_ms;
         change
@@ -267,6 +271,16 @@
         !self.workers.contains(record.id.as_str()) && self.departed.is_outdated(record, now_ms)
     }
 
+    /// Returns whether a worker that has ended may have exited as announced, after the end of its last run: it, or
+    /// the removal of its record, announced at least `drain_ms` ago that it leaves, without a time limit.
+    pub fn may_have_exited(&self, id: &str, drain_ms: u64, now_ms: u64) -> bool {
+        let departure = match self.workers.get(id) {
+            Some(worker) => worker.departure,
+            None => self.departed.announced(id),
+        };
+        departure.is_some_and(|departure| departure.may_have_exited(drain_ms, now_ms))
+    }
+
     /// Applies the removal of a worker's record.
     ///
     /// `expires_ms` is set if the record may have expired only because the store was unavailable.
@@ -445,6 +459,7 @@
             health: Health::default(),
             key: hashing::stable_hash(&[&record.id]),
             process: hashing::stable_hash(&[&record.id, &record.start_unix_ms.to_string()]),
+            departure: AnnouncedDeparture::after(None, &record, now_ms),
             said_leaving: false,
             closed_until_ms: 0,
             limit: KnownLimit::default(),
--- a/lovageridge/src/gateway/directory/departed.rs
+++ b/lovageridge/src/gateway/directory/departed.rs
@@ -10,6 +10,30 @@
 /// Most removed workers that are remembered.
 const WORKERS_MAX: usize = 512;
 
+/// A worker's announcement that it leaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AnnouncedDeparture {
+    // Time at which this instance received it, in ms.
+    announced_ms: u64,
+    // Whether the worker is terminated at a time that it has named, whatever it is running then.
+    is_time_limited: bool,
+}
+
+impl AnnouncedDeparture {
+    /// Returns what is announced after `record` has been received.
+    pub fn after(known: Option<Self>, record: &WorkerRecord, now_ms: u64) -> Option<Self> {
+        let new = record.leaving.then_some(Self { announced_ms: now_ms, is_time_limited: false });
+        let departure = known.or(new)?;
+        let is_time_limited = departure.is_time_limited || record.remaining_ms.is_some();
+        Some(Self { is_time_limited, ..departure })
+    }
+
+    /// Returns whether the worker may have exited by itself, at least `drain_ms` after the announcement.
+    pub fn may_have_exited(self, drain_ms: u64, now_ms: u64) -> bool {
+        !self.is_time_limited && now_ms >= self.announced_ms + drain_ms
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     start_unix_ms: u64,
@@ -17,6 +41,7 @@
     leaving: bool,
     closed_until_ms: u64,
     removed_ms: u64,
+    announced: AnnouncedDeparture,
 }
 
 /// The workers that were removed lately, by id.
@@ -41,6 +66,10 @@
             leaving: worker.is_leaving(),
             closed_until_ms: worker.closed_until_ms,
             removed_ms: now_ms,
+            // Some workers announce that they leave by the removal of their record alone.
+            announced: worker
+                .departure
+                .unwrap_or(AnnouncedDeparture { announced_ms: now_ms, is_time_limited: false }),
         };
         self.workers.insert(worker.record.id.clone(), departure);
     }
@@ -54,6 +83,11 @@
         })
     }
 
+    /// Returns the announcement of the removed worker with `id` that it leaves.
+    pub fn announced(&self, id: &str) -> Option<AnnouncedDeparture> {
+        self.workers.get(id).map(|departure| departure.announced)
+    }
+
     /// Returns the time until which the worker of `record` has asked for no further requests, in ms; 0 if it
     /// has not since its start.
     pub fn closed_until_ms(&self, record: &WorkerRecord) -> u64 {
--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -22,6 +22,7 @@
 use crate::gateway::connection;
 use crate::gateway::crashes;
 use crate::gateway::crashes::SURVIVAL_MS;
+use crate::gateway::crashes::driver::WorkerState;
 use crate::gateway::eventlog::Severity;
 use crate::gateway::message_fields::ResponseFields;
 use crate::gateway::message_fields::part_list;
@@ -41,6 +42,9 @@
 const STALL_TIMEOUT_MIN_MS: u64 = 1200;
 /// Multiple of the route's gap objective that is used instead if it is longer.
 const STALL_TIMEOUT_GAPS: u64 = 5;
+/// Longest time between the last data of a stream without length and its end if the worker ended it and then exited,
+/// in ms; shorter than the interval between two events, in which a crash ends the stream.
+const END_PAUSE_MAX_MS: u64 = 20;
 /// Most bytes without the end of an event, comments and blank lines included; many incomplete events are
 /// buffered at the same time.
 const EVENT_MAX_BYTES: usize = 64 << 10;
@@ -133,6 +137,8 @@
     reads: u64,
     // Monotonic time of the first data, in ms.
     first_data_ms: Option<u64>,
+    // Monotonic time of the last data, in ms.
+    last_data_ms: u64,
     // Whether the response was recorded as having outlasted its beginning.
     has_survived: bool,
     boundary: EventBoundary,
@@ -392,6 +398,7 @@
     fn on_data(&mut self, gateway: &Gateway, call: &Call) {
         self.reads += 1;
         let now_ms = gateway.now_ms();
+        self.last_data_ms = now_ms;
         let began_ms = *self.first_data_ms.get_or_insert(now_ms);
         if now_ms >= began_ms + SURVIVAL_MS {
             self.record_survival(gateway, call, began_ms);
@@ -420,6 +427,7 @@
                 started_ms,
                 reads: 0,
                 first_data_ms: None,
+                last_data_ms: started_ms,
                 has_survived: false,
                 boundary: EventBoundary::default(),
                 is_framed,
@@ -428,11 +436,24 @@
     }
 
     /// Returns whether a response whose body has ended is not complete: it ends inside an event, or
-    /// nothing marks its end and it has no events or its worker has ended.
-    async fn is_cut_off(&self) -> bool {
+    /// nothing marks its end and it has no events or its worker has ended before it.
+    async fn is_cut_off(&self, gateway: &Gateway, call: &Call) -> bool {
         let Upstream { boundary, is_framed, reads, in_flight, .. } = &self.upstream;
-        boundary.is_inside_event()
-            || (!is_framed && (*reads == 0 || crashes::driver::has_ended(in_flight).await))
+        if boundary.is_inside_event() {
+            return true;
+        }
+        if *is_framed {
+            return false;
+        }
+        if *reads == 0 {
+            return true;
+        }
+        let pause_ms = gateway.now_ms() - self.upstream.last_data_ms;
+        match crashes::driver::worker_state(gateway, call, in_flight).await {
+            WorkerState::Running => false,
+            WorkerState::Exited => pause_ms > END_PAUSE_MAX_MS,
+            WorkerState::Lost => true,
+        }
     }
 
     async fn read(
@@ -462,7 +483,7 @@
                     _ => {}
                 },
                 Ok(Some(Err(error))) => return SourceRead::Interrupted(error),
-                Ok(None) if self.is_cut_off().await => return SourceRead::CutOff,
+                Ok(None) if self.is_cut_off(gateway, call).await => return SourceRead::CutOff,
                 Ok(None) => return SourceRead::End,
                 Err(_) if timeout_ms == remaining_ms => return SourceRead::DeadlinePassed,
                 Err(_) => return SourceRead::Stalled,
--- a/lovageridge/src/gateway/settings.rs
+++ b/lovageridge/src/gateway/settings.rs
@@ -12,6 +12,8 @@
 pub const DEFAULT_LEASE_MS: u64 = 3000;
 /// Default of `grace_ms`; as in the platform's example.
 pub const DEFAULT_GRACE_MS: u64 = 8000;
+/// Default of `drain_ms`; as in the platform's example.
+pub const DEFAULT_DRAIN_MS: u64 = 2000;
 /// Default of `retry_permille`; as in the platform's example.
 pub const DEFAULT_RETRY_PERMILLE: u64 = 200;
 /// Default of `retry_slack`; fewer than known deployments allow.
@@ -57,6 +59,8 @@
     pub lease_ms: u64,
     /// Time between the signal to stop and the point at which the process is killed, in ms.
     pub grace_ms: u64,
+    /// Shortest time between a worker's announcement that it leaves and its exit, in ms.
+    pub drain_ms: u64,
     /// Retry budget of a service, shared by all instances: retries per request, in 1/1000.
     pub retry_permille: u64,
     /// Number of retries per window that all instances together may make beyond that share.
@@ -154,6 +158,7 @@
             seeds: Vec::new(),
             lease_ms: DEFAULT_LEASE_MS,
             grace_ms: DEFAULT_GRACE_MS,
+            drain_ms: DEFAULT_DRAIN_MS,
             retry_permille: DEFAULT_RETRY_PERMILLE,
             retry_slack: DEFAULT_RETRY_SLACK,
             retry_window_ms: DEFAULT_RETRY_WINDOW_MS,
@@ -187,6 +192,8 @@
         lease_ms: u64;
         /// Sets the time in which the process has to stop, in ms.
         grace_ms: u64;
+        /// Sets the shortest time between a worker's announcement that it leaves and its exit, in ms.
+        drain_ms: u64;
         /// Sets the retry budget in retries per request, in 1/1000.
         retry_permille: u64;
         /// Sets the number of retries per window beyond the budget's share.
--- a/lovageridge/src/platform/settings.rs
+++ b/lovageridge/src/platform/settings.rs
@@ -56,6 +56,7 @@
     .seeds(seeds)
     .lease_ms(whole(&entries, "Bounds.LeaseMs", settings::DEFAULT_LEASE_MS, f64::ceil)?)
     .grace_ms(thousandths(&entries, "Bounds.GraceS", settings::DEFAULT_GRACE_MS)?)
+    .drain_ms(whole(&entries, "Bounds.DrainMs", settings::DEFAULT_DRAIN_MS, f64::ceil)?)
     .retry_permille(thousandths(
         &entries,
         "Bounds.RetryBudgetRatio",
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -152,6 +152,8 @@
     WORKER_SAID_LEAVING = 738 "worker_said_leaving";
     /// A request is refused since it would wait for too long at a worker.
     QUEUE_REFUSED = 739 "queue_refused";
+    /// A worker has ended by the time that a response without length has.
+    WORKER_END_CHECKED = 740 "worker_end_checked";
     /// Requests with a key are refused from now on, since the configuration may be outdated.
     ACCOUNTS_STALE = 760 "accounts_stale";
     /// Requests with a key are served again.
--- a/lovageridge/tests/gateway/framing.rs
+++ b/lovageridge/tests/gateway/framing.rs
@@ -192,6 +192,108 @@
     deployment.close();
 }
 
+/// What is known of a worker before it exits.
+#[derive(Clone, Copy, Debug)]
+enum Announced {
+    Leaving,
+    Removed,
+    // Leaving with a time at which it is terminated.
+    Reclaimed,
+}
+
+/// Sends a request with the bad part, and announces that the worker `id` leaves while it runs.
+fn ask_departing(
+    deployment: &Deployment,
+    id: &str,
+    announced: Announced,
+    ask: CallerRequest,
+) -> CallerResponse {
+    let to = deployment.instances[0].callers_addr;
+    std::thread::scope(|scope| {
+        let reply = scope.spawn(move || with_bad_part(ask).send(to).expect("response headers"));
+        std::thread::sleep(NOTICE);
+        let worker = deployment.worker(id);
+        let record = match announced {
+            Announced::Leaving => worker.record("draining"),
+            Announced::Removed => Vec::new(),
+            Announced::Reclaimed => worker.reclaimed_record(LAST_EVENT),
+        };
+        deployment.store.put("keyed.servers", id, &record);
+        reply.join().expect("a response")
+    })
+}
+
+/// Time from the start of a slow response to its end; longer than NOTICE and the time for which a worker goes on
+/// after its announcement, which is 2.5 s in these deployments.
+const LAST_EVENT: Duration = Duration::from_millis(5000);
+
+/// A worker with slow streams without length in the instance's domain, and a sound one.
+fn slow_engines() -> Deployment {
+    let slow = WorkerSpec { event_interval_ms: 500, ..engine_worker(&["m0"]) };
+    let elsewhere = WorkerSpec { domain: "b".to_owned(), ..engine_worker(&["m0"]) };
+    let deployment = deployment(vec![("e0", slow), ("e1", elsewhere)], 1);
+    deployment.worker("e0").set_behavior(Behavior::Unframed);
+    deployment
+}
+
+/// Guards against complete streams without length that are cut since their worker exits after them as announced.
+#[test_case("/stream/once/1", Announced::Leaving; "leaving")]
+#[test_case("/stream/once/1", Announced::Removed; "removed")]
+#[test_case("/stream/again/1", Announced::Leaving; "leaving with a resumable stream")]
+#[test_case("/stream/again/1", Announced::Removed; "removed with a resumable stream")]
+fn a_complete_stream_without_length_of_a_worker_that_exits_as_announced_is_complete(
+    path: &str,
+    announced: Announced,
+) {
+    let deployment = slow_engines();
+    deployment.worker("e0").exit_after_event(BAD_PART, 10, DOWN);
+    let ask = CallerRequest::post(path, "id1").for_model("m0");
+    let reply = ask_departing(&deployment, "e0", announced, ask);
+    assert_eq!((reply.complete, reply.body), (true, events(10)));
+    assert_eq!(deployment.worker("e1").requests(), 0);
+    deployment.close();
+}
+
+/// Guards against a complete response without length that is replaced by a failure since its worker exits after it as
+/// announced.
+#[test_case(Announced::Leaving; "leaving")]
+#[test_case(Announced::Removed; "removed")]
+fn a_complete_response_without_length_of_a_worker_that_exits_as_announced_is_complete(
+    announced: Announced,
+) {
+    let elsewhere = WorkerSpec { domain: "b".to_owned(), ..plain_worker(5) };
+    let work_ms = LAST_EVENT.as_millis() as u64;
+    let deployment = deployment(vec![("p0", plain_worker(work_ms)), ("p1", elsewhere)], 1);
+    deployment.worker("p0").set_behavior(Behavior::Unframed);
+    deployment.worker("p0").exit_after_event(BAD_PART, 0, DOWN);
+    let ask = CallerRequest::post("/book/1", "id1");
+    let reply = ask_departing(&deployment, "p0", announced, ask);
+    assert_eq!((reply.status_code, reply.body.as_str()), (200, "POST /book/1 by p0"));
+    deployment.close();
+}
+
+/// Guards against streams of a leaving worker that crashes between two events, or of one that is terminated at a fixed
+/// time right after an event, and that are passed on as complete ones.
+#[test_case(Announced::Leaving, false; "leaving and crashed between two events")]
+#[test_case(Announced::Removed, false; "removed and crashed between two events")]
+#[test_case(Announced::Reclaimed, false; "terminated between two events")]
+#[test_case(Announced::Reclaimed, true; "terminated right after an event")]
+fn a_stream_without_length_that_a_leaving_worker_does_not_end_is_not_complete(
+    announced: Announced,
+    right_after_event: bool,
+) {
+    let deployment = slow_engines();
+    let worker = deployment.worker("e0");
+    match right_after_event {
+        true => worker.exit_after_event(BAD_PART, 9, DOWN),
+        false => worker.crash_after_events(BAD_PART, 9, DOWN),
+    }
+    let ask = CallerRequest::post("/stream/once/1", "id1").for_model("m0");
+    let reply = ask_departing(&deployment, "e0", announced, ask);
+    assert_eq!((reply.complete, reply.body), (false, events(9)));
+    deployment.close();
+}
+
 /// Guards against the loss of complete streams without length of a worker that is leaving and still there.
 #[test_case("/stream/once/1"; "that is not resumable")]
 #[test_case("/stream/again/1"; "that is resumable")]
--- a/standins/src/platform/deployment.rs
+++ b/standins/src/platform/deployment.rs
@@ -30,6 +30,9 @@
 /// Grace period in which an instance has to stop, in s.
 pub const GRACE_S: u64 = 6;
 
+/// Shortest time between a worker's announcement that it leaves and its exit, in ms.
+pub const DRAIN_MS: u64 = 2500;
+
 /// A gateway instance that runs as a process.
 pub struct Instance {
     /// Process of the real binary.
@@ -219,7 +222,7 @@
             "NodeName={name}\nZone=a\nIp={ip}\nListen.Front={callers}\nListen.Ready={ready}\n\
              InternalPorts={peers_port},{}\nSeeds=127.0.0.2:1\nPlatform.Address={store}\n\
              Bounds.LeaseMs={LEASE_MS}\nBounds.GraceS={GRACE_S}\nBounds.RequireFence=true\n\
-             Bounds.BudgetSlack=50\n",
+             Bounds.BudgetSlack=50\nBounds.DrainMs={DRAIN_MS}\n",
             peers_port + 8
         );
         let settings_file = self.workspace.write(&format!("{name}.conf"), &text)?;
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -136,8 +136,16 @@
     part: String,
     // Time until the worker is back.
     down: Duration,
-    // Number of complete events before the crash in the stream of a request with the part.
-    after_events: u64,
+    point: CrashPoint,
+}
+
+/// When the worker crashes in the response to a request with the part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum CrashPoint {
+    // In a stream when the event after this many is due, in a plain response after half of its body.
+    BeforeEvent(u64),
+    // In a stream right after this event, in a plain response after its body.
+    AfterEvent(u64),
 }
 
 #[derive(Default)]
@@ -224,8 +232,17 @@
     /// Makes the worker crash in each stream of a request with the prompt part `part` after `events`
     /// complete events, and in each plain response to such a request after half of its body.
     pub fn crash_after_events(&self, part: &str, events: u64, down: Duration) {
-        let crash = Crash { part: part.to_owned(), down, after_events: events };
-        self.shared.lock().crash = Some(crash);
+        self.set_crash(part, CrashPoint::BeforeEvent(events), down);
+    }
+
+    /// Makes the worker exit right after the event `event` in each stream of a request with the prompt part `part`,
+    /// and in each plain response to such a request after its body; its port closes before its connections do.
+    pub fn exit_after_event(&self, part: &str, event: u64, down: Duration) {
+        self.set_crash(part, CrashPoint::AfterEvent(event), down);
+    }
+
+    fn set_crash(&self, part: &str, point: CrashPoint, down: Duration) {
+        self.shared.lock().crash = Some(Crash { part: part.to_owned(), down, point });
     }
 
     /// Restarts the worker: it is back after `down`, with a new start time.
@@ -308,6 +325,14 @@
         record.to_string().into_bytes()
     }
 
+    /// Returns the record of a worker that is terminated after `remaining`, whatever it is running then.
+    pub fn reclaimed_record(&self, remaining: Duration) -> Vec<u8> {
+        let mut record: serde_json::Value =
+            serde_json::from_slice(&self.record("draining")).unwrap_or_default();
+        record["RemainingMs"] = json!(remaining.as_millis() as u64);
+        record.to_string().into_bytes()
+    }
+
     /// Closes the port.
     pub fn close(self) {
         self.listener.close();
@@ -442,7 +467,10 @@
         let start = self.response_head(request, status, behavior);
         if behavior == Behavior::Unframed {
             let crash = self.due_crash(request);
-            let sent = if crash.is_some() { &body[..body.len() / 2] } else { &body };
+            let is_cut = crash
+                .as_ref()
+                .is_some_and(|crash| matches!(crash.point, CrashPoint::BeforeEvent(_)));
+            let sent = if is_cut { &body[..body.len() / 2] } else { &body };
             // Errors mean that the caller has left.
             let _ = stream.write_all(format!("{start}\r\n{sent}").as_bytes());
             if let Some(crash) = crash {
@@ -484,7 +512,8 @@
             request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         for id in after + 1..=self.spec.events {
             thread::sleep(Duration::from_millis(self.spec.event_interval_ms));
-            if let Some(crash) = crash.as_ref().filter(|crash| crash.after_events < id) {
+            let is_due_before = |crash: &&Crash| matches!(crash.point, CrashPoint::BeforeEvent(count) if count < id);
+            if let Some(crash) = crash.as_ref().filter(is_due_before) {
                 self.restart(crash.down);
                 return Some(false);
             }
@@ -507,6 +536,11 @@
                 return Some(true);
             }
             stream.write_all(chunk(&event).as_bytes()).ok()?;
+            let is_due_after = |crash: &&Crash| crash.point == CrashPoint::AfterEvent(id);
+            if let Some(crash) = crash.as_ref().filter(is_due_after) {
+                self.restart(crash.down);
+                return Some(false);
+            }
         }
         if unframed {
             return Some(false);
