Streams stay at a silent worker that may be at work on them

Cause: after 1.2 s without data, or five pause objectives, the relay closed the connection and resumed the stream at another worker. It took silence for the failure of the worker, and the end of the connection for the end of the run.

Fix: a silent worker is asked for its report. While it answers and has requests, the stream waits. It moves only if the worker gives no answer within 0.4 s, refuses connections, has started again, is another one now or states that it has no request; then it does not work on the stream, or nobody could tell it to stop. The same holds before a request for a stream without headers goes to another worker.

Tests: preempted has nine cases. The stand-in for a worker reports how many requests it runs, which was 0 before.

--- a/lovageridge/src/gateway.rs
+++ b/lovageridge/src/gateway.rs
@@ -21,6 +21,7 @@
 pub mod fleet;
 pub mod lead;
 pub mod limits;
+pub mod liveness;
 pub mod memory;
 pub mod message_fields;
 pub mod metrics;
--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -25,6 +25,8 @@
 use crate::gateway::crashes;
 use crate::gateway::eventlog::Severity;
 use crate::gateway::limits;
+use crate::gateway::liveness;
+use crate::gateway::liveness::RunState;
 use crate::gateway::message_fields::ResponseFields;
 use crate::gateway::message_fields::StatedLimit;
 use crate::gateway::message_fields::UpstreamFields;
@@ -59,6 +61,8 @@
     pub process: Option<u64>,
     /// Address of the worker.
     pub addr: SocketAddr,
+    /// Start time of the process that it was sent to, as Unix time in ms; `None` if the worker was not known.
+    pub start_unix_ms: Option<u64>,
     model: Option<String>,
     body_bytes: u64,
 }
@@ -71,14 +75,15 @@
         let recorded = gateway.directory.borrow_mut().get_mut(&chosen.id).map(|worker| {
             worker.on_sent(model);
             worker.left_places.on_sent();
-            worker.process
+            (worker.process, worker.record.start_unix_ms)
         });
         let ledger = gateway.crashes.ledger.borrow();
         Self {
             gateway: Rc::clone(gateway),
             worker_id: chosen.id.clone(),
-            process: recorded.map(|recorded| ledger.current_process(recorded)),
+            process: recorded.map(|(process, _)| ledger.current_process(process)),
             addr: chosen.addr,
+            start_unix_ms: recorded.map(|(_, start_unix_ms)| start_unix_ms),
             model: model.map(str::to_owned),
             body_bytes,
         }
@@ -177,14 +182,14 @@
             () = interim_exceeded => None,
         }
     };
-    let result = match timeout(millis(timeout_ms), sending).await {
-        Ok(Some(Ok(response))) => Ok(response),
-        Ok(None) => {
+    let result = match wait_for_response(gateway, call, &in_flight, sending, timeout_ms).await {
+        Some(Some(Ok(response))) => Ok(response),
+        Some(None) => {
             let what = "too many interim responses";
             record_failed(gateway, call, attempts, chosen, "broken", what, "");
             return SendResult::Unknown { cause: "the worker sent no final response" };
         }
-        Ok(Some(Err(mut error))) => {
+        Some(Some(Err(mut error))) => {
             if error.take_message().is_some() {
                 // The connection had closed before any of the request was written.
                 if !reused {
@@ -194,8 +199,8 @@
             }
             Err(error.into_error())
         }
-        Err(_) => {
-            let detail = format!("timed out after {timeout_ms} ms");
+        None => {
+            let detail = format!("timed out after {} ms", gateway.now_ms() - started_ms);
             record_failed(gateway, call, attempts, chosen, "timeout", "no answer", &detail);
             return SendResult::TimedOut;
         }
@@ -245,6 +250,34 @@
     SendResult::Responded(Box::new(IncomingResponse { response, outcome, sender, in_flight }))
 }
 
+/// Waits for `sending`, up to `timeout_ms` and until the deadline of a stream while its worker may be at work on it:
+/// another worker could not start it then. Returns `None` after that time.
+async fn wait_for_response<T>(
+    gateway: &Gateway,
+    call: &Call,
+    in_flight: &InFlight,
+    sending: impl Future<Output = T>,
+    timeout_ms: u64,
+) -> Option<T> {
+    let mut sending = std::pin::pin!(sending);
+    let started_ms = gateway.now_ms();
+    loop {
+        let remaining_ms = call.deadline_at_ms.saturating_sub(gateway.now_ms());
+        let wait = millis(timeout_ms.min(remaining_ms));
+        if let Ok(result) = timeout(wait, &mut sending).await {
+            return Some(result);
+        }
+        let waited_ms = gateway.now_ms() - started_ms;
+        let is_waiting = call.route.kind.is_stream() && gateway.now_ms() < call.deadline_at_ms;
+        if !is_waiting
+            || liveness::check(gateway, call, in_flight, waited_ms).await != RunState::MayBeAtWork
+        {
+            // The response may have arrived during the check.
+            return timeout(Duration::ZERO, sending).await.ok();
+        }
+    }
+}
+
 /// Returns a duration of `value` ms.
 pub(super) fn millis(value: u64) -> Duration {
     Duration::from_millis(value)
--- a/lovageridge/src/gateway/orders.rs
+++ b/lovageridge/src/gateway/orders.rs
@@ -72,6 +72,8 @@
     pub running: u32,
     /// Number of requests queued at the worker.
     pub waiting: u32,
+    /// Whether it states that it has no request; false if it does not tell.
+    pub is_idle: bool,
     /// Models with a copy in host memory.
     pub in_memory: Vec<String>,
     /// Models with a copy on disk.
--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -24,6 +24,8 @@
 use crate::gateway::crashes::SURVIVAL_MS;
 use crate::gateway::crashes::driver::WorkerState;
 use crate::gateway::eventlog::Severity;
+use crate::gateway::liveness;
+use crate::gateway::liveness::RunState;
 use crate::gateway::message_fields::ResponseFields;
 use crate::gateway::message_fields::part_list;
 use crate::gateway::response::StreamInterrupted;
@@ -37,8 +39,8 @@
 
 use crate::gateway::relay::boundary::EventBoundary;
 
-/// Shortest time without data after which a resumable stream moves to another worker, in ms;
-/// callers disconnect after two seconds.
+/// Shortest time without data after which a resumable stream moves to another worker if its worker cannot be at work
+/// on it any longer, in ms; callers disconnect after two seconds.
 const STALL_TIMEOUT_MIN_MS: u64 = 1200;
 /// Multiple of the route's gap objective that is used instead if it is longer.
 const STALL_TIMEOUT_GAPS: u64 = 5;
@@ -183,6 +185,7 @@
     End,
     CutOff,
     Interrupted(hyper::Error),
+    // No data for some time, on a connection that stands.
     Stalled,
     DeadlinePassed,
 }
@@ -226,13 +229,10 @@
     pub async fn next(mut self) -> (Option<Result<Bytes, StreamInterrupted>>, Self) {
         let deadline_at_ms = self.deadline_at_ms();
         loop {
-            let Some(source) = &mut self.source else { return (None, self) };
-            let read = source.read(&self.gateway, &self.call, self.resumable, deadline_at_ms).await;
+            let Some(read) = self.read_source(deadline_at_ms).await else { return (None, self) };
             match read {
-                SourceRead::Data(_)
-                    if source.upstream.boundary.bytes_since_event() > EVENT_MAX_BYTES =>
-                {
-                    let cause = if source.upstream.boundary.is_inside_event() {
+                SourceRead::Data(_) if self.bytes_since_event() > EVENT_MAX_BYTES => {
+                    let cause = if self.is_inside_event() {
                         "an event is too large"
                     } else {
                         "too many bytes without an event"
@@ -266,9 +266,6 @@
                     return (rest, self);
                 }
                 SourceRead::DeadlinePassed => return self.abort("the time limit has passed"),
-                // A stalled stream that no other worker can resume may still continue by itself.
-                SourceRead::Stalled
-                    if !attempt::can_fail_over(&self.gateway, &self.call, &self.attempts) => {}
                 SourceRead::Stalled => {
                     if !self.fail_over("the worker fell silent", "").await {
                         return self.abort("the worker fell silent");
@@ -285,6 +282,40 @@
         }
     }
 
+    /// Waits for the worker's next bytes; `None` without a worker. `Stalled` means that the worker does not work on the
+    /// stream any longer, or cannot be reached, and that another one could resume it.
+    async fn read_source(&mut self, deadline_at_ms: u64) -> Option<SourceRead> {
+        let Self { gateway, call, attempts, source, resumable, .. } = self;
+        let source = source.as_mut()?;
+        let gap_objective_ms = call.route.gap_objective_ms;
+        let stall_timeout_ms = (gap_objective_ms * STALL_TIMEOUT_GAPS).max(STALL_TIMEOUT_MIN_MS);
+        let wait_max_ms = if *resumable { stall_timeout_ms } else { u64::MAX };
+        loop {
+            let read = source.read(gateway, call, wait_max_ms, deadline_at_ms).await;
+            if !matches!(read, SourceRead::Stalled) {
+                return Some(read);
+            }
+            // A stream that no other worker can resume may still continue by itself.
+            if !attempt::can_fail_over(gateway, call, attempts) {
+                continue;
+            }
+            let Upstream { in_flight, last_data_ms, .. } = &source.upstream;
+            let silent_ms = gateway.now_ms() - last_data_ms;
+            if liveness::check(gateway, call, in_flight, silent_ms).await != RunState::MayBeAtWork {
+                // Data may have arrived during the check.
+                return Some(source.read(gateway, call, 0, deadline_at_ms).await);
+            }
+        }
+    }
+
+    fn bytes_since_event(&self) -> usize {
+        self.source.as_ref().map_or(0, |source| source.upstream.boundary.bytes_since_event())
+    }
+
+    fn is_inside_event(&self) -> bool {
+        self.source.as_ref().is_some_and(|source| source.upstream.boundary.is_inside_event())
+    }
+
     fn record_delivery(&mut self) {
         self.delivery.record(self.gateway.now_ms());
     }
@@ -456,11 +487,12 @@
         }
     }
 
+    /// Waits up to `wait_max_ms` for the next bytes.
     async fn read(
         &mut self,
         gateway: &Gateway,
         call: &Call,
-        resumable: bool,
+        wait_max_ms: u64,
         deadline_at_ms: u64,
     ) -> SourceRead {
         loop {
@@ -468,10 +500,7 @@
             if remaining_ms == 0 {
                 return SourceRead::DeadlinePassed;
             }
-            let stall_timeout_ms =
-                (call.route.gap_objective_ms * STALL_TIMEOUT_GAPS).max(STALL_TIMEOUT_MIN_MS);
-            let timeout_ms =
-                if resumable { remaining_ms.min(stall_timeout_ms) } else { remaining_ms };
+            let timeout_ms = remaining_ms.min(wait_max_ms);
             let frame = timeout(Duration::from_millis(timeout_ms), self.body.frame()).await;
             match frame {
                 Ok(Some(Ok(frame))) => match frame.into_data() {
--- a/lovageridge/src/platform/control.rs
+++ b/lovageridge/src/platform/control.rs
@@ -40,9 +40,9 @@
     // Number of accepted orders; the field of this name in the worker's record has another meaning.
     seq: u64,
     #[serde(default)]
-    running: u32,
+    running: Option<u32>,
     #[serde(default)]
-    waiting: u32,
+    waiting: Option<u32>,
     #[serde(default)]
     at_hand: CachedCopiesJson,
     // Adapters that are being fetched, as MODEL/NAME@VERSION.
@@ -97,8 +97,9 @@
         models,
         busy: json.busy,
         orders_accepted: json.seq,
-        running: json.running,
-        waiting: json.waiting,
+        running: json.running.unwrap_or(0),
+        waiting: json.waiting.unwrap_or(0),
+        is_idle: json.running == Some(0) && json.waiting == Some(0),
         in_memory: json.at_hand.in_memory,
         on_disk: json.at_hand.on_disk,
         loading_adapters: loading_adapters.collect(),
--- a/lovageridge/src/telemetry/events.rs
+++ b/lovageridge/src/telemetry/events.rs
@@ -154,6 +154,8 @@
     QUEUE_REFUSED = 739 "queue_refused";
     /// A worker has ended by the time that a response without length has.
     WORKER_END_CHECKED = 740 "worker_end_checked";
+    /// A stream has sent nothing for some time, and its worker was asked whether it may be at work on it.
+    STREAM_STALLED = 741 "stream_stalled";
     /// Requests with a key are refused from now on, since the configuration may be outdated.
     ACCOUNTS_STALE = 760 "accounts_stale";
     /// Requests with a key are served again.
--- a/lovageridge/tests/gateway.rs
+++ b/lovageridge/tests/gateway.rs
@@ -24,6 +24,8 @@
 mod memory;
 #[path = "gateway/peers.rs"]
 mod peers;
+#[path = "gateway/preempted.rs"]
+mod preempted;
 #[path = "gateway/requests.rs"]
 mod requests;
 #[path = "gateway/restores.rs"]
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -60,6 +60,12 @@
     ChunkedInterruptAfter(u64),
     /// Sends bytes without end until the caller disconnects.
     Endless(Endless),
+    /// Pauses a stream for this time after this many events, as when its memory runs out, and goes on.
+    PauseAfter(u64, Duration),
+    /// Sends the headers of a stream after this time.
+    DelayHead(Duration),
+    /// Ends the run of a stream after this many events, and sends nothing more on its connection.
+    LoseAfter(u64),
 }
 
 /// Where the bytes without end are in a response.
@@ -154,6 +160,8 @@
     crash: Option<Crash>,
     // Value of the header that limits the requests a second, if any.
     limit: Option<String>,
+    // Whether runs go on when their connection closes.
+    ignores_close: bool,
     // Further headers of all responses.
     headers: Vec<(String, String)>,
     arrivals: Vec<Instant>,
@@ -267,6 +275,11 @@
         state.headers.extend(value.map(|value| (name.to_owned(), value.to_owned())));
     }
 
+    /// Makes the worker go on with streams whose connection closes.
+    pub fn ignore_close(&self) {
+        self.shared.lock().ignores_close = true;
+    }
+
     /// Returns when requests arrived, in order, including refused ones.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.shared.lock().arrivals.clone()
@@ -389,7 +402,7 @@
             self.respond_plain(stream, request, behavior)
         };
         let mut state = self.lock();
-        state.runs[at].ended_at = Some(Instant::now());
+        state.runs[at].ended_at.get_or_insert_with(Instant::now);
         state.runs[at].cancelled = keep_open.is_none();
         keep_open.unwrap_or(false)
     }
@@ -503,6 +516,9 @@
             Behavior::FailureAfterRun(status) => status,
             _ => "200 OK",
         };
+        if let Behavior::DelayHead(delay) = behavior {
+            self.pause(stream, delay)?;
+        }
         let start = self.response_head(request, status, behavior);
         let framing = if unframed { "" } else { "Transfer-Encoding: chunked\r\n" };
         let text = format!("{start}Content-Type: text/event-stream\r\n{framing}\r\n");
@@ -517,7 +533,15 @@
                 self.restart(crash.down);
                 return Some(false);
             }
-            if is_disconnected(stream) {
+            match behavior {
+                Behavior::PauseAfter(count, time) if count + 1 == id => self.pause(stream, time)?,
+                Behavior::LoseAfter(count) if count + 1 == id => {
+                    self.end_runs(request);
+                    return wait_for_disconnect(stream);
+                }
+                _ => {}
+            }
+            if self.has_left(stream) {
                 return None;
             }
             let event = event(id);
@@ -535,7 +559,7 @@
                 stream.write_all(text.as_bytes()).ok()?;
                 return Some(true);
             }
-            stream.write_all(chunk(&event).as_bytes()).ok()?;
+            self.write(stream, &chunk(&event))?;
             let is_due_after = |crash: &&Crash| crash.point == CrashPoint::AfterEvent(id);
             if let Some(crash) = crash.as_ref().filter(is_due_after) {
                 self.restart(crash.down);
@@ -545,10 +569,39 @@
         if unframed {
             return Some(false);
         }
-        stream.write_all(b"0\r\n\r\n").ok()?;
+        self.write(stream, "0\r\n\r\n")?;
         Some(true)
     }
 
+    /// Waits for `time`; returns `None` if the caller's disconnection ends the run meanwhile.
+    fn pause(&self, stream: &TcpStream, time: Duration) -> Option<()> {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            if self.has_left(stream) {
+                return None;
+            }
+            thread::sleep(POLL_INTERVAL);
+        }
+        Some(())
+    }
+
+    /// Returns whether the caller has disconnected and that ends the run.
+    fn has_left(&self, stream: &TcpStream) -> bool {
+        !self.lock().ignores_close && is_disconnected(stream)
+    }
+
+    /// Writes a part of a stream; returns `None` if that fails and ends the run.
+    fn write(&self, stream: &mut TcpStream, text: &str) -> Option<()> {
+        (stream.write_all(text.as_bytes()).is_ok() || self.lock().ignores_close).then_some(())
+    }
+
+    fn end_runs(&self, request: &Request) {
+        let id = request.header("x-lovageridge-attempt-id").unwrap_or_default();
+        let mut state = self.lock();
+        let runs = state.runs.iter_mut().filter(|run| run.id == id && run.ended_at.is_none());
+        runs.for_each(|run| run.ended_at = Some(Instant::now()));
+    }
+
     /// Sends bytes without end; returns `None` once the caller has disconnected.
     fn respond_endless(
         &self,
@@ -613,9 +666,10 @@
             .iter()
             .map(|name| json!({"Name": name, "Version": 1, "Adapters": []}))
             .collect();
+        let running = state.runs.iter().filter(|run| run.ended_at.is_none()).count();
         let body = json!({
             "Stage": "colocated", "Models": models, "Busy": state.busy_until.is_some(),
-            "Seq": state.orders_accepted, "Waiting": 0, "Running": 0, "Handles": 0,
+            "Seq": state.orders_accepted, "Waiting": 0, "Running": running, "Handles": 0,
             "AtHand": {"InMemory": [], "OnDisk": self.spec.on_disk}, "born": state.born_ms,
         });
         drop(state);
