Requests whose account cannot be named to the worker do not run

Cause: a field that cannot be a header value was left out of the request.

Evidence: accounts::requests_run_with_the_name_of_their_account_or_not_at_all with such a name is red on the code before: status 200, and the worker saw no account.

Names with other characters are sent as before (green before).

--- a/lovageridge/src/gateway/attempt/send.rs
+++ b/lovageridge/src/gateway/attempt/send.rs
@@ -302,7 +302,7 @@
         .method(call.method.clone())
         .uri(call.uri.clone())
         .body(Full::new(call.body.clone()))?;
-    *request.headers_mut() = headers::upstream_headers(&call.headers, &fields);
+    *request.headers_mut() = headers::upstream_headers(&call.headers, &fields)?;
     Ok(request)
 }
 
--- a/lovageridge/src/platform/headers.rs
+++ b/lovageridge/src/platform/headers.rs
@@ -3,6 +3,7 @@
 use hyper::HeaderMap;
 use hyper::header::HeaderName;
 use hyper::header::HeaderValue;
+use hyper::header::InvalidHeaderValue;
 
 use crate::gateway::accounts::KeyDigest;
 use crate::gateway::accounts::PresentedKey;
@@ -118,7 +119,13 @@
 
 /// Returns the headers of the request to an upstream: the caller's, without hop-by-hop and reserved
 /// ones, and those of `fields`.
-pub fn upstream_headers(caller: &HeaderMap, fields: &UpstreamFields<'_>) -> HeaderMap {
+///
+/// # Errors
+/// Fails if a field cannot be a header value. An upstream must not run a request without the name of its account.
+pub fn upstream_headers(
+    caller: &HeaderMap,
+    fields: &UpstreamFields<'_>,
+) -> Result<HeaderMap, InvalidHeaderValue> {
     let connection_headers = listed_in_connection(caller);
     let mut headers = HeaderMap::with_capacity(caller.len() + 4);
     for (name, value) in caller {
@@ -135,20 +142,17 @@
         }
     }
     headers.insert(DEADLINE, HeaderValue::from(fields.remaining_ms));
-    // Always valid: worker records with an id that is not a valid header value are rejected.
-    if let Ok(value) = HeaderValue::from_str(fields.worker_id) {
-        headers.insert(EXPECT_INSTANCE, value);
-    }
+    headers.insert(EXPECT_INSTANCE, HeaderValue::from_str(fields.worker_id)?);
     if let Some(urgency) = fields.urgency {
         headers.insert(URGENCY, HeaderValue::from(u16::from(urgency)));
     }
-    if let Some(Ok(value)) = fields.account.map(HeaderValue::from_str) {
-        headers.insert(ACCOUNT, value);
+    if let Some(account) = fields.account {
+        headers.insert(ACCOUNT, HeaderValue::from_str(account)?);
     }
-    if let Some(Ok(value)) = fields.last_event_id.map(HeaderValue::from_str) {
-        headers.insert(LAST_EVENT, value);
+    if let Some(last_event_id) = fields.last_event_id {
+        headers.insert(LAST_EVENT, HeaderValue::from_str(last_event_id)?);
     }
-    headers
+    Ok(headers)
 }
 
 /// Returns the headers of a call to a worker's control interface.
--- a/lovageridge/src/platform/tests.rs
+++ b/lovageridge/src/platform/tests.rs
@@ -216,7 +216,7 @@
         account: None,
         withholds_key: false,
     };
-    let sent = headers::upstream_headers(&caller, &fields);
+    let sent = headers::upstream_headers(&caller, &fields).expect("valid headers");
     let text = |name: &str| sent.get(name).and_then(|value| value.to_str().ok());
     assert_eq!(text("x-lovageridge-attempt-id"), Some("id1"));
     assert_eq!(text("x-lovageridge-deadline-ms"), Some("1200"));
@@ -252,7 +252,7 @@
         withholds_key,
     };
     let is_as_expected = |caller: &HeaderMap| {
-        let sent = headers::upstream_headers(caller, &fields);
+        let sent = headers::upstream_headers(caller, &fields).expect("valid headers");
         let names: Vec<_> = sent.get_all("x-lovageridge-tenant").iter().collect();
         assert_eq!(names, expected.into_iter().collect::<Vec<_>>());
         sent.get_all("authorization").iter().count() == keys
--- a/lovageridge/tests/gateway/accounts.rs
+++ b/lovageridge/tests/gateway/accounts.rs
@@ -184,6 +184,22 @@
     deployment.close();
 }
 
+/// Guards against requests that run without the name of their account, since it cannot be a header value.
+#[test_case("Soci\u{e9}t\u{e9} \u{5b66}\u{6821}", 200; "characters outside of ASCII")]
+#[test_case("a\u{7}b", 503; "a control character")]
+fn requests_run_with_the_name_of_their_account_or_not_at_all(name: &str, expected: u16) {
+    let deployment = deployment(vec![("p0", plain_worker(5))], 1);
+    let tenants = json!([{"Name": name, "ApiKeys": ["s1"], "Priority": 1}]);
+    deployment.store.put("keyed.op", "config", &config(2, &json!({"Tenants": tenants})));
+    wait_in_force(&deployment, 2.0);
+    assert_eq!(status(&deployment.instances[0], "s1", "id1"), expected);
+    let runs = deployment.worker("p0").runs();
+    let accounts: Vec<&[String]> = runs.iter().map(|run| run.accounts.as_slice()).collect();
+    let names = [name.to_owned()];
+    assert_eq!(accounts, if expected == 200 { vec![&names[..]] } else { Vec::new() });
+    deployment.close();
+}
+
 /// Guards against account names of callers that reach upstreams where there are no accounts, and keys of other
 /// systems that no longer do.
 #[test]
