Send targets with scheme and host to workers as a path

What callers saw: a request whose target names scheme and host, as to a proxy, was sent to its worker with that target, so that the worker saw another path than the one of the request.

Cause: the target is passed on as it came, also in absolute form.

Evidence: requests::a_target_with_a_host_reaches_the_worker_as_a_path is red on the code before: the worker saw http://site.example/look/1?x=1.

Fix: only path and query are passed on, which are what selects the route.

--- a/lovageridge/src/gateway/serve.rs
+++ b/lovageridge/src/gateway/serve.rs
@@ -13,6 +13,7 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::Uri;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -222,7 +223,7 @@
     // decides.
     let mut call = Call {
         method: parts.method.clone(),
-        uri: parts.uri.clone(),
+        uri: origin_form(&parts.uri),
         headers: parts.headers.clone(),
         body,
         fields,
@@ -246,6 +247,11 @@
     attempt::handle(gateway, call).await
 }
 
+/// Returns the path and query of a target. Callers may send it with scheme and host, as to a proxy.
+fn origin_form(target: &Uri) -> Uri {
+    target.path_and_query().map_or_else(|| target.clone(), |path| Uri::from(path.clone()))
+}
+
 /// Reads the body of a request, within the limits on its size and on pauses. A body that does not fit
 /// into the memory is read to its end as well, without keeping it.
 async fn read_body(gateway: &Gateway, body: Incoming, limits: &Limits) -> Result<Bytes, Refusal> {
--- a/lovageridge/tests/gateway/requests.rs
+++ b/lovageridge/tests/gateway/requests.rs
@@ -114,6 +114,17 @@
     deployment.close();
 }
 
+/// Guards against targets with scheme and host that reach workers as they are, and then name another path there.
+#[test]
+fn a_target_with_a_host_reaches_the_worker_as_a_path() {
+    let deployment = small_deployment(1);
+    let ask = CallerRequest::get("http://site.example/look/1?x=1", "id1");
+    let reply = ask.send(deployment.instances[0].callers_addr).expect("a response");
+    assert_eq!(reply.status_code, 200);
+    assert_eq!(deployment.worker("p0").runs()[0].path, "/look/1?x=1");
+    deployment.close();
+}
+
 #[test]
 fn connections_to_callers_and_workers_are_reused() {
     let deployment = small_deployment(1);
