--- a/lovageridge/src/cli/remote.rs
+++ b/lovageridge/src/cli/remote.rs
@@ -171,7 +171,7 @@
         return edit_section(&client, options, file);
     }
     let prefix = options.section.as_deref().or(options.prefix.as_deref()).unwrap_or_default();
-    let body = client.get(&format!("/v1/sections?prefix={prefix}"))?;
+    let body = client.get(&format!("/v1/sections?prefix={}", outbound::escaped(prefix)))?;
     if options.json {
         println!("{}", String::from_utf8_lossy(&body));
         return Ok(());
@@ -203,7 +203,7 @@
 pub fn status(options: &StatusOptions) -> Result<(), Exit> {
     let client = AdminClient::new(options.admin, options.token.as_deref())?;
     let path = match &options.explain {
-        Some(model) => format!("/v1/explain/{model}"),
+        Some(model) => format!("/v1/explain/{}", outbound::escaped(model)),
         None => "/v1/status".to_owned(),
     };
     println!("{}", String::from_utf8_lossy(&client.get(&path)?));
--- a/lovageridge/src/infra/log.rs
+++ b/lovageridge/src/infra/log.rs
@@ -86,7 +86,7 @@
         timeout: Duration,
     ) -> Result<u64, Error> {
         let text = serde_json::to_string(record)?;
-        let url = format!("http://{}/streams/{stream}", self.addr);
+        let url = format!("http://{}/streams/{}", self.addr, outbound::escaped(stream));
         let response = fetch_body(outbound::post(url).text(text), timeout)?;
         Ok(serde_json::from_slice::<AppendResponse>(&response)?.offset)
     }
@@ -97,8 +97,9 @@
     /// Returns an error if the service does not send a valid response in time.
     pub fn read(&self, stream: &str, from_offset: u64, wait_ms: u64) -> Result<Page, Error> {
         let url = format!(
-            "http://{}/streams/{stream}?from={from_offset}&wait_ms={wait_ms}&max_bytes={READ_MAX_BYTES}",
-            self.addr
+            "http://{}/streams/{}?from={from_offset}&wait_ms={wait_ms}&max_bytes={READ_MAX_BYTES}",
+            self.addr,
+            outbound::escaped(stream)
         );
         let timeout = READ_TIMEOUT + Duration::from_millis(wait_ms);
         let response = fetch_body(outbound::get(url), timeout)?;
--- a/lovageridge/src/outbound.rs
+++ b/lovageridge/src/outbound.rs
@@ -3,10 +3,22 @@
 use attohttpc::Method;
 use attohttpc::ProxySettings;
 use attohttpc::RequestBuilder;
+use percent_encoding::AsciiSet;
+use percent_encoding::NON_ALPHANUMERIC;
+use percent_encoding::PercentEncode;
+use percent_encoding::utf8_percent_encode;
 
 /// End of the range of HTTP status codes; the libraries accept three-digit codes from 100 to 999.
 const STATUS_END: u16 = 600;
 
+/// Characters that are escaped in a part of a URI: all but the unreserved ones.
+const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
+
+/// Returns `text` as one segment of a path, or one value of a query.
+pub fn escaped(text: &str) -> PercentEncode<'_> {
+    utf8_percent_encode(text, ESCAPED)
+}
+
 /// Returns whether a response has a status code that HTTP defines a class for. One without states nothing: it is
 /// a broken response, and the request may have run.
 pub fn is_valid_status(status_code: u16) -> bool {
--- a/lovageridge/src/platform/store.rs
+++ b/lovageridge/src/platform/store.rs
@@ -4,16 +4,11 @@
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use hyper::HeaderMap;
-use percent_encoding::AsciiSet;
-use percent_encoding::NON_ALPHANUMERIC;
-use percent_encoding::utf8_percent_encode;
 use serde::Deserialize;
 
+use crate::outbound;
 use crate::platform::Error;
 
-/// Characters of a key that are escaped in a query: all but the unreserved ones of URIs.
-const ESCAPED: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'.').remove(b'_').remove(b'~');
-
 /// Topic of the operator's records.
 pub const OPERATOR_TOPIC: &str = "keyed.op";
 /// Key of the configuration in the operator's topic.
@@ -116,7 +111,7 @@
 /// Returns the path of a read of the newest record of each key that follows `after`. Keys are of any writer, so
 /// they may hold characters that end a query or are not allowed in one.
 pub fn newest_path(topic: &str, after: Option<&str>) -> String {
-    let after = after.map(|key| format!("&after={}", utf8_percent_encode(key, ESCAPED)));
+    let after = after.map(|key| format!("&after={}", outbound::escaped(key)));
     let after = after.unwrap_or_default();
     format!("/lovageridge/log-newest?Topic={topic}&part=0{after}")
 }
