Only chunks as the last transfer coding mark the end of a response

Cause: any such header counted as a frame, but the HTTP library reads these bodies to the end of the connection, as RFC 9112 says, so that nothing marks their end.

Evidence: framing::a_stream_with_another_coding_that_ends_with_its_worker_is_not_complete is red in both cases on the code before: complete after four of ten events.

Fix: a response has a frame if chunked is its last coding, or if it has a length and no coding. Others are checked as responses without length are.

--- a/lovageridge/src/gateway/connection.rs
+++ b/lovageridge/src/gateway/connection.rs
@@ -23,6 +23,7 @@
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::CONTENT_LENGTH;
+use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -146,9 +147,17 @@
 /// Returns whether a response has a length or chunks, so that its end differs from that of a connection that
 /// breaks.
 pub fn is_framed(response: &Response<Incoming>) -> bool {
-    let names = [CONTENT_LENGTH, TRANSFER_ENCODING];
+    let headers = response.headers();
+    // Only chunks mark an end, and only if they are the last coding.
+    let is_chunked = |codings: &HeaderValue| {
+        let last = codings.as_bytes().rsplit(|byte| *byte == b',').next();
+        last.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+    };
     response.body().is_end_stream()
-        || names.iter().any(|name| response.headers().contains_key(name))
+        || match headers.get_all(TRANSFER_ENCODING).iter().next_back() {
+            Some(codings) => is_chunked(codings),
+            None => headers.contains_key(CONTENT_LENGTH),
+        }
 }
 
 /// Sets the socket options that close a connection whose peer stops responding.
@@ -284,7 +293,7 @@
     *request.method_mut() = method;
     *request.uri_mut() = path.parse().map_err(|_| Error::Connect(format!("path {path:?}")))?;
     *request.headers_mut() = headers;
-    let host = hyper::header::HeaderValue::from_str(&addr.to_string())
+    let host = HeaderValue::from_str(&addr.to_string())
         .map_err(|error| Error::Connect(error.to_string()))?;
     request.headers_mut().insert(hyper::header::HOST, host);
     Ok(request)
--- a/lovageridge/tests/gateway/framing.rs
+++ b/lovageridge/tests/gateway/framing.rs
@@ -133,6 +133,20 @@
     deployment.close();
 }
 
+/// Guards against streams that end with their connection, have a transfer coding and are passed on as complete ones though
+/// their worker crashed between two events.
+#[test_case("identity"; "identity")]
+#[test_case("chunked, gzip"; "chunks inside another coding")]
+fn a_stream_with_another_coding_that_ends_with_its_worker_is_not_complete(coding: &str) {
+    let deployment = engines(Behavior::Unframed);
+    deployment.worker("e0").set_header("Transfer-Encoding", Some(coding));
+    deployment.worker("e0").crash_after_events(BAD_PART, 4, DOWN);
+    let ask = with_bad_part(CallerRequest::post("/stream/once/1", "id1").for_model("m0"));
+    let reply = ask.send(deployment.instances[0].callers_addr).expect("response headers");
+    assert_eq!((reply.complete, reply.body), (false, events(4)));
+    deployment.close();
+}
+
 /// Time from the start of a request to the news that its worker leaves, which instances have about a second later.
 const NOTICE: Duration = Duration::from_millis(200);
 
