Streams without length that end at their deadline are not complete

Cause: a worker stops work at the deadline that it was given. The instance extends its own one by the time for which the caller has delayed the stream, so that the worker can close the connection first, between two events, and goes on to accept others.

Fix: a response without length that ends at the original deadline or later is cut off. Before the deadline, the worker has no such reason to end it.

--- a/lovageridge/src/gateway/relay.rs
+++ b/lovageridge/src/gateway/relay.rs
@@ -467,7 +467,7 @@
     }
 
     /// Returns whether a response whose body has ended is not complete: it ends inside an event, or
-    /// nothing marks its end and it has no events or its worker has ended before it.
+    /// nothing marks its end and it has no events, or its worker has ended or reached the deadline before it.
     async fn is_cut_off(&self, gateway: &Gateway, call: &Call) -> bool {
         let Upstream { boundary, is_framed, reads, in_flight, .. } = &self.upstream;
         if boundary.is_inside_event() {
@@ -476,7 +476,8 @@
         if *is_framed {
             return false;
         }
-        if *reads == 0 {
+        // The worker stops at the deadline, which is extended here for a slow caller.
+        if *reads == 0 || gateway.now_ms() >= call.deadline_at_ms {
             return true;
         }
         let pause_ms = gateway.now_ms() - self.upstream.last_data_ms;
--- a/lovageridge/tests/gateway/memory.rs
+++ b/lovageridge/tests/gateway/memory.rs
@@ -17,6 +17,7 @@
 use standins::platform::deployment::plain_worker;
 use standins::platform::deployment::route;
 use standins::platform::deployment::wait_for;
+use standins::platform::worker::Behavior;
 use standins::platform::worker::WorkerSpec;
 use standins::platform::worker::events;
 use test_case::test_case;
@@ -257,6 +258,26 @@
     deployment.close();
 }
 
+/// Guards against streams without length that end since their worker stops at the deadline, before a slow caller has
+/// read them, and that are passed on as complete ones.
+#[test]
+fn a_stream_without_length_that_its_worker_stops_at_the_deadline_is_not_complete() {
+    let deployment = streaming_deployment();
+    deployment.worker("e0").set_behavior(Behavior::Unframed);
+    deployment.worker("e0").stop_at_deadline();
+    let (mut stream, mut response) = open_stream(&deployment, "/stream/once/1", 1000);
+    let mut part = vec![0; 65536];
+    loop {
+        std::thread::sleep(Duration::from_millis(50));
+        match stream.read(&mut part).expect("a part of the stream") {
+            0 => break,
+            count => response.extend_from_slice(&part[..count]),
+        }
+        assert!(!response.ends_with(b"\r\n0\r\n\r\n"), "complete after {} bytes", response.len());
+    }
+    deployment.close();
+}
+
 /// Guards against a caller that reads nothing and holds memory and a worker beyond the deadline of its request.
 #[test]
 fn a_stream_whose_caller_reads_nothing_ends_at_the_deadline() {
--- a/standins/src/platform/worker.rs
+++ b/standins/src/platform/worker.rs
@@ -162,6 +162,8 @@
     limit: Option<String>,
     // Whether runs go on when their connection closes.
     ignores_close: bool,
+    // Whether streams end at the deadline that is sent with their request.
+    stops_at_deadline: bool,
     // Further headers of all responses.
     headers: Vec<(String, String)>,
     arrivals: Vec<Instant>,
@@ -280,6 +282,11 @@
         self.shared.lock().ignores_close = true;
     }
 
+    /// Makes the worker end streams at the deadline that is sent with their request.
+    pub fn stop_at_deadline(&self) {
+        self.shared.lock().stops_at_deadline = true;
+    }
+
     /// Returns when requests arrived, in order, including refused ones.
     pub fn arrivals(&self) -> Vec<Instant> {
         self.shared.lock().arrivals.clone()
@@ -524,6 +531,7 @@
         let text = format!("{start}Content-Type: text/event-stream\r\n{framing}\r\n");
         stream.write_all(text.as_bytes()).ok()?;
         let crash = self.due_crash(request);
+        let stops_at = self.stop_time(request);
         let after: u64 =
             request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         for id in after + 1..=self.spec.events {
@@ -544,6 +552,9 @@
             if self.has_left(stream) {
                 return None;
             }
+            if stops_at.is_some_and(|at| Instant::now() >= at) {
+                return Some(false);
+            }
             let event = event(id);
             if behavior == Behavior::InterruptAfter(id - 1) {
                 let part = &event[..event.len() / 2];
@@ -585,6 +596,13 @@
         Some(())
     }
 
+    /// Returns when a stream that starts now ends by its deadline, if that ends it.
+    fn stop_time(&self, request: &Request) -> Option<Instant> {
+        let deadline_ms = request.header("x-lovageridge-deadline-ms")?.parse().ok()?;
+        let stops = self.lock().stops_at_deadline;
+        stops.then(|| Instant::now() + Duration::from_millis(deadline_ms))
+    }
+
     /// Returns whether the caller has disconnected and that ends the run.
     fn has_left(&self, stream: &TcpStream) -> bool {
         !self.lock().ignores_close && is_disconnected(stream)
