Plain services get the path that was sent, or no request

What callers saw: a path such as /service/%2e%2e/other was matched to a service by its first part and reached the upstream as /other, beyond the paths of the service.

Cause: the HTTP library resolves segments of dots, escaped ones too, and takes a backslash for a slash. Only plain dots were looked for.

Evidence: upstream::service::tests::a_request_that_cannot_be_sent_as_it_is_is_not_sent is red in three of three cases on the code before: the upstream got the request.

Fix: the path that the library would send is compared with the one of the request, both decoded. Paths whose characters are only escaped on the way pass.

--- a/lovageridge/src/callers/server.rs
+++ b/lovageridge/src/callers/server.rs
@@ -29,6 +29,7 @@
 use crate::document::Config;
 use crate::document::Priority;
 use crate::document::ServiceKind;
+use crate::outbound;
 use crate::telemetry::events;
 use crate::telemetry::trace::Span;
 use crate::telemetry::trace::SpanContext;
@@ -307,7 +308,7 @@
 
 /// Returns the plain service with the longest path that is `path` or a parent of it.
 fn find_plain_service(config: &Config, path: &str) -> Option<String> {
-    if path.split('/').any(|part| part == "..") {
+    if !outbound::keeps_path(path) {
         return None;
     }
     let covers_path = |base: &str| {
--- a/lovageridge/src/outbound.rs
+++ b/lovageridge/src/outbound.rs
@@ -6,6 +6,7 @@
 use percent_encoding::AsciiSet;
 use percent_encoding::NON_ALPHANUMERIC;
 use percent_encoding::PercentEncode;
+use percent_encoding::percent_decode_str;
 use percent_encoding::utf8_percent_encode;
 
 /// End of the range of HTTP status codes; the libraries accept three-digit codes from 100 to 999.
@@ -19,6 +20,16 @@
     utf8_percent_encode(text, ESCAPED)
 }
 
+/// Returns whether requests with this path reach a server with it. The HTTP library resolves segments of dots, escaped
+/// ones too, and takes a backslash for a slash.
+pub fn keeps_path(path: &str) -> bool {
+    let builder = RequestBuilder::try_new(Method::GET, format!("http://localhost{path}"));
+    builder.is_ok_and(|mut builder| {
+        let sent = builder.inspect().url().path().to_owned();
+        percent_decode_str(&sent).eq(percent_decode_str(path))
+    })
+}
+
 /// Returns whether a response has a status code that HTTP defines a class for. One without states nothing: it is
 /// a broken response, and the request may have run.
 pub fn is_valid_status(status_code: u16) -> bool {
--- a/lovageridge/src/upstream/service/tests.rs
+++ b/lovageridge/src/upstream/service/tests.rs
@@ -21,3 +21,24 @@
     let result = call(addr, request, "", Duration::from_secs(10));
     assert!(matches!(result, Err(Error::NoResponse(_))), "{result:?}");
 }
+
+/// Guards against paths that the HTTP library resolves or parses anew, so that a service gets another path than the
+/// caller sent.
+#[test_case("GET", "/service/%2e%2e/other"; "escaped dots")]
+#[test_case("GET", "/service/..\\other"; "a backslash")]
+#[test_case("GET", "/service/./other"; "a dot")]
+fn a_request_that_cannot_be_sent_as_it_is_is_not_sent(method: &str, path: &str) {
+    let addr = serve_once("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_owned());
+    let request = PlainRequest { method, path_and_query: path, headers: &[], body: b"" };
+    let result = call(addr, request, "", Duration::from_secs(2));
+    assert!(matches!(result, Err(Error::NotSent(_))), "{result:?}");
+}
+
+#[test_case("/service/x?q=a%20b&r=../c"; "escapes and dots in the query")]
+#[test_case("/service/a..b/%C3%A9"; "dots in a name")]
+#[test_case("/service/a|b"; "a character that is escaped on the way")]
+fn a_request_is_sent_with_its_path(path: &str) {
+    let addr = serve_once("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_owned());
+    let request = PlainRequest { method: "GET", path_and_query: path, headers: &[], body: b"" };
+    assert!(call(addr, request, "", Duration::from_secs(2)).is_ok());
+}
