CONNECT to a plain service is refused instead of a panic

What callers saw: not run as a whole; the call to the upstream panics in the thread that serves a request with the method CONNECT to the path of a plain service.

Cause: the HTTP library panics for this method, which names no path.

Evidence: the new case of a_request_that_cannot_be_sent_as_it_is_is_not_sent panics on the code before, in the library's RequestBuilder::new.

Fix: the client of plain services refuses to send it.

--- a/lovageridge/src/upstream/service.rs
+++ b/lovageridge/src/upstream/service.rs
@@ -80,8 +80,8 @@
     let method = attohttpc::Method::from_bytes(request.method.as_bytes())
         .map_err(|e| Error::NotSent(e.to_string()))?;
     let path = request.path_and_query.split('?').next().unwrap_or_default();
-    if !outbound::keeps_path(path) {
-        return Err(Error::NotSent("it cannot be sent with this path".to_owned()));
+    if method == attohttpc::Method::CONNECT || !outbound::keeps_path(path) {
+        return Err(Error::NotSent("it cannot be sent with this method and path".to_owned()));
     }
     let url = format!("http://{addr}{}", request.path_and_query);
     let mut builder = outbound::request(method, url);
--- a/lovageridge/src/upstream/service/tests.rs
+++ b/lovageridge/src/upstream/service/tests.rs
@@ -23,10 +23,11 @@
 }
 
 /// Guards against paths that the HTTP library resolves or parses anew, so that a service gets another path than the
-/// caller sent.
+/// caller sent, and methods that it cannot send.
 #[test_case("GET", "/service/%2e%2e/other"; "escaped dots")]
 #[test_case("GET", "/service/..\\other"; "a backslash")]
 #[test_case("GET", "/service/./other"; "a dot")]
+#[test_case("CONNECT", "/service/x"; "a method without a path")]
 fn a_request_that_cannot_be_sent_as_it_is_is_not_sent(method: &str, path: &str) {
     let addr = serve_once("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_owned());
     let request = PlainRequest { method, path_and_query: path, headers: &[], body: b"" };
