--- a/lovageridge/tests/gateway/preempted.rs
+++ b/lovageridge/tests/gateway/preempted.rs
@@ -52,6 +52,21 @@
     deployment.close();
 }
 
+/// Guards against streams that start at another worker after a response to another request, while the first worker, which
+/// goes on without its connection, works on them.
+#[test]
+fn a_stream_does_not_run_at_two_workers_after_a_response_to_another_request() {
+    let deployment = engines(Behavior::RejectionOfAnother("503 Service Unavailable"));
+    deployment.worker("e0").ignore_close();
+    ask(&deployment);
+    let first = deployment.worker("e0").runs();
+    let first_end = first.first().and_then(|run| run.ended_at);
+    let second = deployment.worker("e1").runs();
+    let overlaps = second.iter().any(|run| first_end.is_none_or(|end| run.started_at < end));
+    assert!(!overlaps, "{first:?} {second:?}");
+    deployment.close();
+}
+
 /// Guards against preempted streams that are cut since the other workers reject them.
 #[test]
 fn a_preempted_stream_is_complete_while_all_other_workers_are_full() {
