--- a/review/kit-3/kit.rs
+++ b/review/kit-3/kit.rs
@@ -105,10 +105,20 @@
 
 /// Returns a free port of the loopback address.
 pub fn free_port() -> u16 {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    free_port_of(Ipv4Addr::LOCALHOST)
+}
+
+fn free_port_of(ip: Ipv4Addr) -> u16 {
+    let listener = TcpListener::bind((ip, 0)).expect("a free port");
     listener.local_addr().expect("an address").port()
 }
 
+/// Returns the loopback address of an instance; runs at the same time have different ones.
+fn instance_ip(number: u8) -> Ipv4Addr {
+    let pid = std::process::id();
+    Ipv4Addr::new(127, 100 + (pid % 100) as u8, (pid / 100 % 250) as u8, 10 + number)
+}
+
 /// A gateway instance as a process.
 pub struct Instance {
     /// Name.
@@ -138,7 +148,7 @@
     pub fn new(store: SocketAddr) -> Self {
         let dir = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a temporary folder");
-        Self { dir, internal_port: free_port(), store, extra: String::new(), count: 0 }
+        Self { dir, internal_port: free_port_of(instance_ip(0)), store, extra: String::new(), count: 0 }
     }
 
     /// Starts an instance in this zone.
@@ -146,13 +156,13 @@
         let number = self.count;
         self.count += 1;
         let name = format!("edge-{zone}-{number}");
-        let ip = Ipv4Addr::new(127, 0, 0, 10 + number);
-        let front = SocketAddr::from((ip, free_port()));
-        let ready = SocketAddr::from((ip, free_port()));
+        let ip = instance_ip(number);
+        let front = SocketAddr::from((ip, free_port_of(ip)));
+        let ready = SocketAddr::from((ip, free_port_of(ip)));
         let port = self.internal_port;
         let text = format!(
             "NodeName={name}\nRole=gateway\nMachineClass=edge\nServes=edge,control_plane\nIp={ip}\nZone={zone}\n\
-             Listen.Front={front}\nListen.Ready={ready}\nInternalPorts={port},{}\nSeeds=127.0.0.10:8144\n\
+             Listen.Front={front}\nListen.Ready={ready}\nInternalPorts={port},{}\nSeeds={}:8144\n\
              Bootstrap=true\nLimits.CpuShare=0.25\nLimits.Cores=1\nLimits.MemoryMb=260\nLimits.MaxFds=4100\n\
              BeatIntervalMs=1200\nBounds.ContactMs=3000\nBounds.DrainMs=2000\nBounds.GraceS=8\n\
              Bounds.LossSlackMs=200\nBounds.ConfigApplyMs=2000\nBounds.DowngradeMs=250\n\
@@ -160,6 +170,7 @@
              Bounds.LeaseMs=3000\nBounds.ThawMs=300\nBounds.CeilingWindowS=5\nBounds.CeilingOvershoot=1.1\n\
              Platform.Address={}\nPlatform.form=log\n{}",
             port + 15,
+            instance_ip(0),
             self.store,
             self.extra
         );
