Build the cases of the third review with the compiler alone

They get a store of their own and workers that are processes, since the machine that runs them may have no packages of the project's stand-ins.

--- a/review/kit-3/kit.rs
+++ b/review/kit-3/kit.rs
@@ -1,8 +1,10 @@
-//! Parts that the scripts of this review share: instances of the deploy file as processes, a worker that is scripted
-//! by a closure, and the record of a run.
+//! Parts that the scripts of this review share: instances of the deploy file and workers as processes, a worker that is
+//! scripted by a closure, the platform's store, and the record of a run. Needs the standard library only.
 #![allow(dead_code)]
 
 use std::fs::File;
+use std::io::BufRead;
+use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
 use std::net::Ipv4Addr;
@@ -14,6 +16,7 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
@@ -330,20 +333,25 @@
 pub fn start_worker(
     handler: impl Fn(&mut TcpStream, &Received) -> bool + Send + Sync + 'static,
 ) -> SocketAddr {
+    start_connection_worker(move |stream| serve(stream, &handler))
+}
+
+/// Starts a worker; `handler` serves a connection.
+pub fn start_connection_worker(handler: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
     let addr = listener.local_addr().expect("an address");
     let handler = Arc::new(handler);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let handler = Arc::clone(&handler);
-            thread::spawn(move || serve(stream, &*handler));
+            let _ = stream.set_nodelay(true);
+            thread::spawn(move || handler(stream));
         }
     });
     addr
 }
 
 fn serve(mut stream: TcpStream, handler: &impl Fn(&mut TcpStream, &Received) -> bool) {
-    let _ = stream.set_nodelay(true);
     let mut buffer = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut buffer) {
         if !handler(&mut stream, &request) {
@@ -393,3 +401,236 @@
 /// Limits as in the installations.
 pub const LIMITS: &str =
     "{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}";
+
+/// A worker that runs as a process of the same program, with the arguments `worker ID PORT`.
+pub struct WorkerProcess {
+    /// Id, which it keeps over a new start.
+    pub id: String,
+    /// Port that it listens on.
+    pub port: u16,
+    child: Option<Child>,
+}
+
+impl WorkerProcess {
+    /// Returns a worker that is not started yet.
+    pub fn new(id: &str) -> Self {
+        Self { id: id.to_owned(), port: free_port(), child: None }
+    }
+
+    /// Starts the process. What it prints goes into the record and to `on_line`.
+    pub fn start(&mut self, record: &Arc<Record>, on_line: impl Fn(&str) + Send + 'static) {
+        let program = std::env::current_exe().expect("the program");
+        let mut child = Command::new(program)
+            .args(["worker", &self.id, &self.port.to_string()])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the worker starts");
+        on_started(child.id());
+        let output = child.stdout.take().expect("its output");
+        self.child = Some(child);
+        let record = Arc::clone(record);
+        thread::spawn(move || {
+            for line in BufReader::new(output).lines().map_while(Result::ok) {
+                record.line(&line);
+                on_line(&line);
+            }
+        });
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+            on_ended(child.id());
+        }
+    }
+}
+
+/// Returns the id and the port if this process is a worker of a case; such a process ends with its parent.
+pub fn worker_arguments() -> Option<(String, u16)> {
+    let arguments: Vec<String> = std::env::args().collect();
+    let port = arguments.get(3).filter(|_| arguments[1] == "worker")?.parse().ok()?;
+    thread::spawn(|| {
+        let _ = std::io::stdin().read(&mut [0]);
+        std::process::exit(0);
+    });
+    Some((arguments[2].clone(), port))
+}
+
+/// Serves the connections of a worker's port until the process ends.
+pub fn serve_port(port: u16, handler: impl Fn(TcpStream) + Send + Sync + 'static) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, port)).expect("the port");
+    let handler = Arc::new(handler);
+    for stream in listener.incoming().flatten() {
+        let handler = Arc::clone(&handler);
+        let _ = stream.set_nodelay(true);
+        thread::spawn(move || handler(stream));
+    }
+}
+
+/// A topic of the store with one partition.
+#[derive(Default)]
+struct Topic {
+    records: Vec<Vec<u8>>,
+    // Key, value and offset of the newest record of each key, sorted by key.
+    newest: Vec<(String, Vec<u8>, usize)>,
+}
+
+impl Topic {
+    fn append(&mut self, record: Vec<u8>, is_keyed: bool) {
+        if is_keyed && !record.is_empty() {
+            let (key, value) = record[1..].split_at(usize::from(record[0]));
+            let key = String::from_utf8_lossy(key).into_owned();
+            self.newest.retain(|(known, _, _)| *known != key);
+            if !value.is_empty() {
+                self.newest.push((key, value.to_vec(), self.records.len()));
+                self.newest.sort();
+            }
+        }
+        self.records.push(record);
+    }
+}
+
+/// The platform's store: logs with conditional appends, and the newest record of each key of a keyed topic.
+pub struct Store {
+    addr: SocketAddr,
+    shared: Arc<StoreState>,
+}
+
+#[derive(Default)]
+struct StoreState {
+    topics: Mutex<Vec<(String, Topic)>>,
+    changed: Condvar,
+}
+
+impl Store {
+    /// Starts an empty store.
+    pub fn start() -> Self {
+        let shared = Arc::new(StoreState::default());
+        let state = Arc::clone(&shared);
+        let addr = start_worker(move |stream, call| state.answer(stream, call));
+        Self { addr, shared }
+    }
+
+    /// Returns the address that the store listens on.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Writes a keyed record, as the operator and the workers do.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
+        let mut record = vec![key.len() as u8];
+        record.extend_from_slice(key.as_bytes());
+        record.extend_from_slice(value);
+        self.shared.with_topic(topic, |topic| topic.append(record, true));
+        self.shared.changed.notify_all();
+    }
+}
+
+impl StoreState {
+    fn with_topic<T>(&self, name: &str, change: impl FnOnce(&mut Topic) -> T) -> T {
+        change(topic_of(&mut self.topics.lock().unwrap(), name))
+    }
+
+    fn answer(&self, stream: &mut TcpStream, call: &Received) -> bool {
+        let (path, query) = call.path().split_once('?').unwrap_or((call.path(), ""));
+        let value = |name: &str| {
+            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.to_owned()).next()
+        };
+        let number = |name: &str| value(name).and_then(|text| text.parse::<usize>().ok());
+        let topic = value("Topic").unwrap_or_default();
+        let (status, body) = match path {
+            "/lovageridge/log-append" => self.append(&topic, number("At"), &call.body),
+            "/lovageridge/log-read" => {
+                self.read(&topic, number("From").unwrap_or(0), number("WaitMs").unwrap_or(0))
+            }
+            "/lovageridge/log-newest" => (200, self.newest(&topic, value("after").as_deref())),
+            _ => (404, b"{}".to_vec()),
+        };
+        let head = format!("HTTP/1.1 {status} Status\r\nStore-Era: 0\r\nContent-Length: {}\r\n\r\n", body.len());
+        stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body)).is_ok()
+    }
+
+    fn append(&self, name: &str, at: Option<usize>, mut body: &[u8]) -> (u16, Vec<u8>) {
+        let result = self.with_topic(name, |topic| {
+            let offset = topic.records.len();
+            if at.is_some_and(|at| at != offset) {
+                return (412, format!("{{\"EndOffset\":{offset}}}").into_bytes());
+            }
+            while body.len() >= 4 {
+                let length = u32::from_be_bytes([body[0], body[1], body[2], body[3]]) as usize;
+                let end = (4 + length).min(body.len());
+                topic.append(body[4..end].to_vec(), name.starts_with("keyed."));
+                body = &body[end..];
+            }
+            let end = topic.records.len();
+            (200, format!("{{\"Offset\":{offset},\"EndOffset\":{end}}}").into_bytes())
+        });
+        self.changed.notify_all();
+        result
+    }
+
+    fn read(&self, name: &str, from: usize, wait_ms: usize) -> (u16, Vec<u8>) {
+        let until = Instant::now() + Duration::from_millis(wait_ms as u64);
+        let mut topics = self.topics.lock().unwrap();
+        loop {
+            let end = topic_of(&mut topics, name).records.len();
+            if from > end {
+                return (410, b"{\"FirstOffset\":0}".to_vec());
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            if end > from || left.is_zero() {
+                break;
+            }
+            topics = self.changed.wait_timeout(topics, left).unwrap().0;
+        }
+        let topic = topic_of(&mut topics, name);
+        let mut bytes = (topic.records.len() as u64).to_be_bytes().to_vec();
+        bytes.extend_from_slice(&0_u64.to_be_bytes());
+        for record in &topic.records[from..] {
+            bytes.extend_from_slice(&(record.len() as u32).to_be_bytes());
+            bytes.extend_from_slice(record);
+        }
+        (200, bytes)
+    }
+
+    fn newest(&self, name: &str, after: Option<&str>) -> Vec<u8> {
+        self.with_topic(name, |topic| {
+            let rows = topic.newest.iter().filter(|(key, _, _)| after.is_none_or(|after| key.as_str() > after));
+            let items: Vec<String> = rows
+                .map(|(key, value, offset)| {
+                    format!("{{\"Key\":\"{key}\",\"Value\":\"{}\",\"Offset\":{offset}}}", base64(value))
+                })
+                .collect();
+            let end = topic.records.len();
+            format!("{{\"items\":[{}],\"HasMore\":false,\"EndOffset\":{end}}}", items.join(",")).into_bytes()
+        })
+    }
+}
+
+fn topic_of<'a>(topics: &'a mut Vec<(String, Topic)>, name: &str) -> &'a mut Topic {
+    let at = match topics.iter().position(|(known, _)| known == name) {
+        Some(at) => at,
+        None => {
+            topics.push((name.to_owned(), Topic::default()));
+            topics.len() - 1
+        }
+    };
+    &mut topics[at].1
+}
+
+fn base64(bytes: &[u8]) -> String {
+    const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    let mut text = String::new();
+    for group in bytes.chunks(3) {
+        let value = group.iter().fold(0_u32, |value, byte| value << 8 | u32::from(*byte)) << (8 * (3 - group.len()));
+        for place in 0..4 {
+            let digit = DIGITS[(value >> (18 - 6 * place) & 63) as usize];
+            text.push(if place <= group.len() { char::from(digit) } else { '=' });
+        }
+    }
+    text
+}
