--- a/review/kit-3/kit.rs
+++ b/review/kit-3/kit.rs
@@ -151,7 +151,13 @@
     pub fn new(store: SocketAddr) -> Self {
         let dir = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a temporary folder");
-        Self { dir, internal_port: free_port_of(instance_ip(0)), store, extra: String::new(), count: 0 }
+        Self {
+            dir,
+            internal_port: free_port_of(instance_ip(0)),
+            store,
+            extra: String::new(),
+            count: 0,
+        }
     }
 
     /// Starts an instance in this zone.
@@ -230,7 +236,9 @@
 
     /// Returns whether the process has exited.
     pub fn has_exited(&mut self) -> bool {
-        self.child.as_mut().is_none_or(|child| child.try_wait().is_ok_and(|status| status.is_some()))
+        self.child
+            .as_mut()
+            .is_none_or(|child| child.try_wait().is_ok_and(|status| status.is_some()))
     }
 
     /// Returns whether the readiness check succeeds.
@@ -370,7 +378,13 @@
 }
 
 /// Returns the record of a worker of a plain service.
-pub fn worker_record(service: &str, zone: &str, addr: SocketAddr, state: &str, slots: u32) -> Vec<u8> {
+pub fn worker_record(
+    service: &str,
+    zone: &str,
+    addr: SocketAddr,
+    state: &str,
+    slots: u32,
+) -> Vec<u8> {
     format!(
         "{{\"Service\":\"{service}\",\"Address\":\"{addr}\",\"Zone\":\"{zone}\",\"Version\":\"v1\",\
          \"Slots\":{slots},\"State\":\"{state}\",\"ColdLeftMs\":0,\"Seq\":1,\"born\":{}}}",
@@ -380,7 +394,15 @@
 }
 
 /// Returns a route.
-pub fn route(name: &str, kind: &str, service: &str, timeout_ms: u64, aim_ms: u64, attempts: u32, more: &str) -> String {
+pub fn route(
+    name: &str,
+    kind: &str,
+    service: &str,
+    timeout_ms: u64,
+    aim_ms: u64,
+    attempts: u32,
+    more: &str,
+) -> String {
     format!(
         "{{\"Name\":\"{name}\",\"Host\":\"site.example\",\"PathPrefix\":\"/{name}/\",\"RouteType\":\"{kind}\",\
          \"TimeoutMs\":{timeout_ms},\"TargetLatencyMs\":{aim_ms},\"Priority\":0,\"Service\":\"{service}\",\
@@ -399,8 +421,7 @@
 }
 
 /// Limits as in the installations.
-pub const LIMITS: &str =
-    "{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}";
+pub const LIMITS: &str = "{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":4194304,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}";
 
 /// A worker that runs as a process of the same program, with the arguments `worker ID PORT`.
 pub struct WorkerProcess {
@@ -550,7 +571,10 @@
             "/lovageridge/log-newest" => (200, self.newest(&topic, value("after").as_deref())),
             _ => (404, b"{}".to_vec()),
         };
-        let head = format!("HTTP/1.1 {status} Status\r\nStore-Era: 0\r\nContent-Length: {}\r\n\r\n", body.len());
+        let head = format!(
+            "HTTP/1.1 {status} Status\r\nStore-Era: 0\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
         stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(&body)).is_ok()
     }
 
@@ -599,14 +623,21 @@
 
     fn newest(&self, name: &str, after: Option<&str>) -> Vec<u8> {
         self.with_topic(name, |topic| {
-            let rows = topic.newest.iter().filter(|(key, _, _)| after.is_none_or(|after| key.as_str() > after));
+            let rows = topic
+                .newest
+                .iter()
+                .filter(|(key, _, _)| after.is_none_or(|after| key.as_str() > after));
             let items: Vec<String> = rows
                 .map(|(key, value, offset)| {
-                    format!("{{\"Key\":\"{key}\",\"Value\":\"{}\",\"Offset\":{offset}}}", base64(value))
+                    format!(
+                        "{{\"Key\":\"{key}\",\"Value\":\"{}\",\"Offset\":{offset}}}",
+                        base64(value)
+                    )
                 })
                 .collect();
             let end = topic.records.len();
-            format!("{{\"items\":[{}],\"HasMore\":false,\"EndOffset\":{end}}}", items.join(",")).into_bytes()
+            format!("{{\"items\":[{}],\"HasMore\":false,\"EndOffset\":{end}}}", items.join(","))
+                .into_bytes()
         })
     }
 }
@@ -626,7 +657,8 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for group in bytes.chunks(3) {
-        let value = group.iter().fold(0_u32, |value, byte| value << 8 | u32::from(*byte)) << (8 * (3 - group.len()));
+        let value = group.iter().fold(0_u32, |value, byte| value << 8 | u32::from(*byte))
+            << (8 * (3 - group.len()));
         for place in 0..4 {
             let digit = DIGITS[(value >> (18 - 6 * place) & 63) as usize];
             text.push(if place <= group.len() { char::from(digit) } else { '=' });
